Spread a start over the whole list: a load not yet seen is not a small one

From 2 to 4 s the ten front servers have up to 17 calls in flight; from 4 to 5 s answers fall from 160 to 94 a second while five of them stay at 0 to 5 answers a second with 6 to 10 in flight: a jam that lasts until they are replaced. Uneven load made it: 8 to 33 sends a second.

Lines at fault: `Balancer._resize` sizes the slice by a rate that is zero at the first list, and looks again `WORKING_EVERY` (3 s) later. At a start under full load each proxy sends all its calls to one or two servers for 3 s. Until a load has been seen for that long the slice is now the whole list.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -462,6 +462,8 @@
             want = mean * (1.0 + WORKING_SPREAD * sqrt(pool.rate.read(now) * self.pooled))
             step = total / self.settings.balancers  # only whole steps cover every server alike
             pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
+            if now < pool.born + WORKING_EVERY:  # Guards the start: a load not yet seen is not a small one.
+                pool.width = total
             pool.begin = step * self.settings.me
             pool.size = pool.width / total * sum(s.row.size or 1.0 for s in pool.ready) if total else 0.0
             pool.working = []
