Hold as many calls a server as before when the list loses servers or gets cold ones

Lines at fault: `Balancer._admits` takes calls for the aim times what was served lately, over the whole pool and smoothed over 2 s. After a step down that is what the whole fleet could hold, now on the rest. The room now shrinks with the part of the lately listed capacity that is left (cold servers by what they can do), forgotten over 10 s (`LOSS_SPAN`), when the rates tell.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -72,6 +72,7 @@
 ROOM_CHANCE = 2.0  # standard deviations by which the requests owed may pass their mean: arrivals are random
 ROOM_ALWAYS = 2.0  # requests that are taken whatever was served lately: a start, a proxy with few calls...
 ROOM_ALONE = 2.0  # ...and so many more, while none fail, at a proxy that shares its zone with no other
+LOSS_SPAN = 10.0  # seconds over which servers that left the list are forgotten: by then the rates tell
 SHARE_SPAN = 5.0  # seconds of its share that a tenant may use at once: a burst, not a surplus
 
 POOL_PROTECTION = 1.0  # requests that never count against a pool: all of a proxy's calls fill its window...
@@ -314,17 +315,19 @@
     Guards placement: every pick, first or further, comes from a list that holds open servers alone.
     """
 
-    __slots__ = ("begin", "born", "breaker", "ends", "groups", "kinds", "owed", "rate", "ready", "sent",
-                 "served", "size", "warm_from", "warm_part", "width", "working", "zones")
+    __slots__ = ("begin", "born", "breaker", "ends", "groups", "kinds", "left", "most", "owed", "rate",
+                 "ready", "sent", "served", "size", "warm_from", "warm_part", "width", "working", "zones")
 
     def __init__(self, kinds: Sequence[int] | None, zones: Sequence[int] | None) -> None:
         self.kinds = kinds
         self.zones = zones
         self.ready: list[Server] = []
         self.working: list[Server] = []  # the part of `ready` that ordinary picks draw from...
-        self.ends: list[float] = []  # ...where each one's stretch of the slice ends, by size...
+        self.ends: list[float] = []  # ...where each one's stretch of the slice ends...
         self.begin = self.width = 0.0  # ...and the slice...
         self.size = 0.0  # ...with what its servers will be together once none is cold
+        self.most = 0.0  # what all ready servers could do lately...
+        self.left = 1.0  # ...and the part of it that they can do now
         self.groups: dict[tuple[Group, int], list[Server]] = {}  # which servers drop each other's repeats
         self.rate, self.sent, self.served = Rate(), Rate(), Rate()  # requests offered, attempts, served
         self.born = float("inf")  # when the first request came
@@ -454,11 +457,14 @@
         averages go stale, and the own in-flight says nothing. Acts where there are other instances. A
         server's stretch is as long as what it can do now; whole steps cover every server alike.
         """
+        kept = exp((self.look_at - WORKING_EVERY - now) / LOSS_SPAN)
         self.look_at = now + WORKING_EVERY
         for pool in self.pools:
             present = [self._present(now, s) for s in pool.ready]
             total = sum(present)
             mean = total / max(1, len(pool.ready))
+            pool.most = max(total, total + (pool.most - total) * kept)
+            pool.left = total / pool.most if pool.most else 1.0
             want = mean * (1.0 + WORKING_SPREAD * sqrt(pool.rate.read(now) * self.pooled))
             step = total / self.settings.balancers  # only whole steps cover every server alike
             pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
@@ -590,7 +596,8 @@
             return True
         pool = self.pool_of[kind]
         shrink = min(1.0, ROOM_SLOPE * pool.breaker.failed_part(now))
-        room = (1.0 - (1.0 - ROOM_LOST) * shrink) * self.room[kind]
+        # Guards what is left of a fleet: it can hold as much a server as before, not what all held together.
+        room = (1.0 - (1.0 - ROOM_LOST) * shrink) * self.room[kind] * pool.left
         if self.class_latency[kind] > 0.0:
             room *= self.pooled / self.class_latency[kind]
         if over:
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -435,6 +435,22 @@
     assert max(len(times) for times in checker.sends.values()) <= 2 * 60 / 10
 
 
+def held_after(gone: int, later: float) -> int:
+    """How many calls a proxy holds at most, some time after so many of its ten servers have gone."""
+    checker = Checker(Settings(classes=(SAFE,)), 1, [ServerRow(i) for i in range(10)])
+    steady(checker, 6.0, 60.0)
+    checker.members(ListKind.PATCH, [ServerRow(i, State.GONE) for i in range(gone)])
+    steady(checker, later, 60.0)
+    rids = [checker.request(0, 4.0) for _ in range(200)]
+    return sum(bool(checker.owed[rid].tries) for rid in rids)
+
+
+def test_a_fleet_that_lost_servers_holds_as_many_calls_a_server_as_before() -> None:
+    """The rates still tell what all served together: that many calls would jam the servers that are left."""
+    assert held_after(6, 0.0) <= 0.6 * held_after(0, 0.0)
+    assert held_after(6, 40.0) >= 0.9 * held_after(0, 40.0), "by then the rates tell"
+
+
 def test_cold_servers_outside_the_slice_get_nothing_when_it_refuses() -> None:
     rows = [ServerRow(i) for i in range(1, 21)]
     b = past_the_start(balancer(Settings(classes=(SAFE,), balancers=20), rows))
