Widen a proxy's slice with its calls in flight, not with their root

From 13 s on 50 to 60 calls a second are refused for room, while the servers differ by what sends to them: 71953 and 76277 get 30 a second and take 0.3 to 0.45 s an answer, 35615 gets 15 and takes 0.18 s.

Line at fault: `Balancer._resize` widens the slice with the root of a proxy's calls in flight, so a proxy with four times the calls puts twice as many on each server of its slice, whose servers then hold twice as many as others. In proportion, every server holds alike, and a lost proxy's slice is taken up.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -60,7 +60,7 @@
 
 SMOOTH = 32.0  # answers over which the latency of the tier, and of each class, is smoothed
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
-WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each root of the calls usually in flight
+WORKING_SPREAD = 1.0  # servers of a slice beyond the first, for each call usually in flight
 FALL_PART = 0.67  # of the rate at which a cold server falls over: proxies are unevenly loaded
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
@@ -465,7 +465,7 @@
             mean = total / max(1, len(pool.ready))
             pool.most = max(total, total + (pool.most - total) * kept)
             pool.left = total / pool.most if pool.most else 1.0
-            want = mean * (1.0 + WORKING_SPREAD * sqrt(pool.rate.read(now) * self.pooled))
+            want = mean * (1.0 + WORKING_SPREAD * pool.rate.read(now) * self.pooled)
             step = total / self.settings.balancers  # only whole steps cover every server alike
             pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
             if now < pool.born + WORKING_EVERY:  # Guards the start: a load not yet seen is not a small one.
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -139,6 +139,16 @@
     assert 3 < len(checker.balancer.pools[0].working) < 40
 
 
+def test_a_busy_proxy_loads_the_servers_of_its_slice_no_more_than_a_quiet_one() -> None:
+    """Clients come by zone: one proxy may have several times the calls of another."""
+    def calls_a_server(rate: float) -> float:
+        checker = Checker(Settings(classes=(SAFE,), balancers=60), 1, [ServerRow(i) for i in range(60)])
+        steady(checker, 8.0, rate)
+        return rate / len(checker.balancer.pools[0].working)
+
+    assert calls_a_server(100.0) <= 1.35 * calls_a_server(30.0)
+
+
 def steady(checker: Checker, seconds: float, rate: float, kind: int = 0) -> None:
     """Calls at an even pace, each answered after about a third of a second."""
     rng = Random(7)
