Let servers rest that cannot be reached, sooner where others of their zone rest too

Lines at fault: `Balancer._learn` and `Breaker.error_ratio`. A breaker's window still holds ten seconds of accepted calls, and at a proxy that sends a server two calls a second five more are free; the pick counts the aim for a failure, which with nothing in flight is less than a loaded server's score. Now a server that found no connection twice in a row (once, where another of its zone rests) is passed over for a second, doubling to 8, and never more than half the list; any answer or a new process ends it.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -82,6 +82,8 @@
 PACED = 16  # answers before the baseline by cost refuses anything: the first may have stood in a queue
 HOPELESS = 0.6  # a request needs this part of that baseline at least: costs are hints, servers differ
 
+REST_AFTER = 2  # attempts in a row without a connection after which a server rests...
+REST, REST_MOST = 1.0, 8.0  # ...so many seconds, doubling
 OVERDUE = 3.0  # times its class's current latency that an attempt is out before a second copy is sent
 
 SUBSCRIBE = 1  # timer token; those above it are second copies that fall due
@@ -241,7 +243,7 @@
     """What an instance knows of one server of the next tier."""
 
     __slots__ = (
-        "breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen",
+        "breaker", "cold_credit", "cold_seen", "latency", "out", "rests_until", "row", "seen", "unreached",
     )
 
     def __init__(self, row: ServerRow) -> None:
@@ -250,6 +252,8 @@
         self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
         self.latency = 0.0  # the breaker's current latency, failures counted as the time-out
         self.seen = 0.0
+        self.unreached = 0  # attempts in a row that found no connection...
+        self.rests_until = 0.0  # ...and until when it is passed over for them
         self.cold_credit = self.cold_seen = 0.0
 
     def learn(self, now: float, latency: float) -> None:
@@ -430,6 +434,8 @@
             if row.started > known.row.started:
                 known.breaker = None  # a new process: nothing learned of the old one holds
                 known.latency = 0.0
+                known.unreached = 0
+                known.rests_until = 0.0
                 # The phase is drawn anew too: a credit counted from before the restart would be full at
                 # every instance at once, and the first call of each would push the cold server over.
                 known.cold_credit = known.cold_seen = 0.0
@@ -701,7 +707,7 @@
                 server = among[min(at, count - 1)]
             else:
                 server = among[int(self.rng.random() * count)]
-            if server in found or server in tried:
+            if server in found or server in tried or server.rests_until > now:
                 continue
             if self._cold_until(server) > now and (not first or self._spares_cold(now, server, pool)):
                 continue
@@ -798,6 +804,11 @@
         breaker = server.breaker
         if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
             return
+        if how is Outcome.UNREACHABLE:
+            self._rest(now, server)
+        elif how not in (Outcome.CANCELLED, Outcome.TIMEOUT):
+            server.unreached = 0
+            server.rests_until = 0.0
         if how is Outcome.OK:
             breaker.accepted(now)
             if breaker.current <= 0.0 and self.pooled > 0.0:
@@ -814,6 +825,21 @@
             # Guards against a server that fails fast and so looks quick: a failure costs a time-out.
             server.learn(now, max(latency, timeout))
 
+    def _rest(self, now: float, server: Server) -> None:
+        """Pass a server over that could not be reached, for longer each time that it is tried in vain.
+
+        Guards against machines that vanish: the breaker's window still holds what they accepted before, and
+        nothing in flight makes them look free. Others of its zone that rest are evidence too: a zone is lost
+        as a whole. Acts while most of the list is left: where nothing can be reached the fault is not theirs.
+        """
+        server.unreached += 1
+        ready = [s for s in self.servers.values() if s.row.state is State.UP]
+        resting = [s for s in ready if s.rests_until > now]
+        alike = any(s.row.zone == server.row.zone for s in resting)
+        if server.unreached + alike < REST_AFTER or 2 * (len(resting) + 1) > len(ready):
+            return
+        server.rests_until = now + min(REST_MOST, REST * 2.0 ** (server.unreached - 1))
+
     def begun(self, now: float, rid: RequestId, number: int) -> list[Action]:
         """The answer of a streamed class has begun: the request belongs to this attempt."""
         request = self.requests.get(rid)
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -7,7 +7,7 @@
 import pytest
 from harness import Checker
 
-from jaspershelf.decide import Balancer
+from jaspershelf.decide import Attempt, Balancer, Breaker
 from jaspershelf.model import (
     Action,
     Cancel,
@@ -553,3 +553,43 @@
         checker.advance(0.95)
     rids = [checker.request(0, 4.0) for _ in range(3)]
     assert sum(bool(checker.owed[rid].tries) for rid in rids) == taken
+
+
+def unreached(b: Balancer, now: float, server: int) -> None:
+    """One attempt at this server finds no connection."""
+    known = b.servers[server]
+    known.breaker = known.breaker or Breaker()
+    b._learn(now, Attempt(known, now), Outcome.UNREACHABLE, 0.05, 1.0)
+
+
+def picked(b: Balancer, now: float) -> set[int]:
+    """The servers that a hundred calls go to first."""
+    first = [b.request(now, f"p{now}-{n}", 0, 0, now + 4.0)[0] for n in range(100)]
+    for n in range(100):
+        b.gone(now, f"p{now}-{n}")
+    return {send.server for send in first if isinstance(send, Send)}
+
+
+def test_servers_that_cannot_be_reached_rest_and_are_tried_again() -> None:
+    b = balancer(Settings(classes=(SAFE,), zones=2), [ServerRow(i, zone=i % 2) for i in range(8)])
+    unreached(b, 100.0, 1)
+    assert 1 in picked(b, 100.1), "one failed connection is no evidence yet"
+    unreached(b, 100.2, 1)
+    assert 1 not in picked(b, 100.3)
+    unreached(b, 100.4, 3)
+    assert 3 not in picked(b, 100.5), "another of its zone could not be reached either"
+    unreached(b, 100.6, 2)
+    assert 2 in picked(b, 100.7), "its own zone has answered"
+    assert {1, 3} <= picked(b, 104.0), "it is tried again"
+    unreached(b, 104.1, 1)
+    assert 1 not in picked(b, 106.0), "the next rest is longer"
+    b.members(107.0, ListKind.PATCH, [ServerRow(1, zone=1, started=106.5)])
+    assert b.servers[1].rests_until == 0.0, "a new process has not been tried"
+
+
+def test_most_of_the_list_is_never_passed_over() -> None:
+    b = balancer(Settings(classes=(SAFE,)))
+    for n in range(4):
+        for row in ROWS:
+            unreached(b, 100.0 + n / 10, row.server)
+    assert sum(server.rests_until > 100.4 for server in b.servers.values()) == len(ROWS) // 2
