Take discovery's lines whole or not at all: figures and the index are checked

Found by trying malformed lines one by one: a weight, group or index of a wrong type was taken. A weight that is no number then failed in `Balancer._resize` with a traceback at that and every later list, so that the list was frozen and drains were missed; an index that is no number went into the next watch's `since`. Line at fault: `Reader.endpoint` and `Discovery.line` read them unchecked. Now such a line changes nothing, one message is printed and the watch is renewed with its growing pause.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import sys
 from collections.abc import Callable, Mapping
@@ -35,6 +36,20 @@
     return int.from_bytes(name.encode(), "big")
 
 
+def read_whole(value: Any) -> int:
+    """A whole number as discovery counts; anything else is malformed."""
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"{value!r} is not a whole number")
+    return value
+
+
+def read_figure(value: Any) -> float:
+    """A figure of 0 or more; anything else is malformed."""
+    if not isinstance(value, (int, float)) or isinstance(value, bool) or not 0.0 <= value < math.inf:
+        raise ValueError(f"{value!r} is not a figure of 0 or more")
+    return float(value)
+
+
 class Reader:
     """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
 
@@ -47,9 +62,9 @@
             server_id(entry["name"]),
             STATES[entry["status"]],
             self._zones.get(entry.get("zone", ""), -1),
-            entry.get("group", 0),
-            entry.get("weight", 1.0),
-            entry.get("since_ms", 0) / 1000.0,
+            read_whole(entry.get("group", 0)),
+            read_figure(entry.get("weight", 1.0)),
+            read_figure(entry.get("since_ms", 0)) / 1000.0,
             self._types.get(entry.get("type", ""), -1),
         )
         return Endpoint(row, read_address(entry["address"]))
@@ -61,7 +76,7 @@
     def check(self, known: Mapping[str, Any]) -> None:
         """Raise ConfigError where the list known at the start can't be read."""
         try:
-            int(known["index"])
+            read_whole(known["index"])
             self.endpoints(known)
         except (KeyError, TypeError, ValueError, AttributeError) as fault:
             raise ConfigError(f"the known list can't be read: {fault!r}") from fault
@@ -75,7 +90,7 @@
     ) -> None:
         self._address = address
         self._reader = reader
-        self._index = index
+        self.index = index  # of the list as it is told
         self._told = told
         self._task: asyncio.Task[None] | None = None
         self.retry = RETRY_FIRST
@@ -105,7 +120,7 @@
     async def _follow(self) -> None:
         """One watch, until it ends."""
         loop = asyncio.get_running_loop()
-        watch = _Watch(self, f"GET /v1/servers?follow=1&since={self._index} HTTP/1.1\r\n"
+        watch = _Watch(self, f"GET /v1/servers?follow=1&since={self.index} HTTP/1.1\r\n"
                              f"Host: {self._address[0]}\r\n\r\n".encode())
         try:
             async with asyncio.timeout(DIAL_MOST):
@@ -124,9 +139,10 @@
             self._told(ListKind.PATCH, [])
             return
         message = orjson.loads(text)
-        endpoints = self._reader.endpoints(message)
+        # Guards the list: a line is taken whole or not at all, and the next watch resumes before it.
+        index, endpoints = read_whole(message["index"]), self._reader.endpoints(message)
         self.retry = RETRY_FIRST
-        self._index = message["index"]
+        self.index = index
         self._told(ListKind.WHOLE if message.get("snapshot") else ListKind.PATCH, endpoints)
 
 
