--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -3,8 +3,8 @@
 Interface (settings, list rows, outcomes, actions): jaspershelf/model.py.
 
 Pure and sans-I/O: every method takes the time, returns the actions to carry out, and reads no clock.
-All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling
-(docs/design.md): each server has a breaker that refuses locally with the larger of an error chance and
+All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling:
+each server has a breaker that refuses locally with the larger of an error chance and
 a latency chance; of two random ready servers the one with the lower latency x (in-flight + 1) is taken.
 """
 
