Give operators an address of their own: ready, drain and return

Design: admin.py listens at admin_addr (RELAY_ADMIN_ADDR wins; absent, nothing listens) on the proxy's own event loop, reads one call a connection, answers and closes. It knows paths and methods; what a call does is the proxy's. At most 16 callers at a time, of the spare descriptors: the next one takes the oldest one's place, so silent callers cannot keep a good call out, and a call has 2 s. A drain is a state of the front (/healthz says no, answers close their connection, idle ones are closed 1.6 s later, the listener stays); SIGTERM uses the same closing. Connections on which a request is coming in are no longer closed as idle.

Rejected: a thread of its own for operators (an answer under load would not wait for the loop, but every figure and every ban would need locks); handling the calls on the callers' address (a crowd of callers would keep operators out, and outsiders could drain a proxy).

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -29,6 +29,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     front = proxy.front
     listener = await front.listen()
+    if config.admin is not None:
+        await proxy.admin.listen(config.admin)
     gc.collect()
     gc.freeze()
     await told.wait()
@@ -47,6 +49,7 @@
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
     front.serving = False
+    front.ending = True
     # Guards what is on its way: the callers' front goes on sending connections for a moment.
     begun = loop.time()
     while (passed := loop.time() - begun) < LISTEN_MOST:
@@ -71,7 +74,7 @@
     try:
         asyncio.run(serve(config))
     except OSError as fault:
-        print(f"lugspur: {config.listen[0]}:{config.listen[1]}: {fault}", file=sys.stderr)
+        print(f"lugspur: {fault}", file=sys.stderr)
         return 1
     return 0
 
--- /dev/null
+++ b/lugspur/admin.py
@@ -0,0 +1,138 @@
+"""The operators' address: one call to a connection, read, answered, closed."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+from lugspur.server import ACCEPTS, LINGER, Rejected, listening_socket, path_of
+
+ADMIN_SOCKETS = 16  # callers at a time, of the spare descriptors: the next one takes the oldest one's place
+CALL_WITHIN = 2.0  # seconds for a whole call: silent callers stay for 4 if they may
+CALL_MOST = 8 << 10  # bytes of a call's body: an id is far shorter
+WAITING = 64  # callers that may wait to be accepted
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """What a path takes and who answers: given the body, the text of a yes; a no is a Rejected."""
+
+    method: bytes
+    answer: Callable[[bytes], bytes]
+
+
+class Admin:
+    """All connections of operators, within a number of their own."""
+
+    def __init__(self, routes: Mapping[bytes, Route]) -> None:
+        self.routes = routes
+        self.calls: dict[_Call, None] = {}  # the oldest first
+
+    async def listen(self, address: tuple[str, int]) -> socket.socket:
+        """Serve on this address."""
+        sock = listening_socket(address)
+        server = await asyncio.get_running_loop().create_server(
+            lambda: _Call(self), sock=sock, backlog=ACCEPTS
+        )
+        sock.listen(WAITING)
+        self._server = server
+        return sock
+
+    def close(self) -> None:
+        """Stop listening; calls that are being answered go on."""
+        self._server.close()
+
+
+class _Call(asyncio.Protocol):
+    """One connection and the one call on it."""
+
+    def __init__(self, admin: Admin) -> None:
+        self._admin = admin
+        self._loop = asyncio.get_running_loop()
+        self._parser = httptools.HttpRequestParser(self)
+        self._target = b""
+        self._body = b""
+        self._expects = False
+        self._answered = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        calls = self._admin.calls
+        if len(calls) >= ADMIN_SOCKETS:  # Guards good calls: those that say nothing must not keep them out.
+            next(iter(calls))._drop()
+        calls[self] = None
+        self._timer = self._loop.call_later(CALL_WITHIN, self._late)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._admin.calls.pop(self, None)
+        self._timer.cancel()
+
+    def _drop(self) -> None:
+        self._admin.calls.pop(self, None)
+        self._transport.abort()
+
+    def _late(self) -> None:
+        self._answer(408, b"the call took too long\n")
+
+    def data_received(self, data: bytes) -> None:
+        if self._answered:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            pass  # offered, not taken: the call has been answered as it is
+        except httptools.HttpParserError:
+            self._answer(400, b"the call is malformed\n")
+
+    # ---- the parser's calls ----------------------------------------------------------------
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._bound(self._target)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._expects = self._expects or name.lower() == b"expect"
+
+    def on_headers_complete(self) -> None:
+        if self._expects:
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._body += body
+        self._bound(self._body)
+
+    def _bound(self, part: bytes) -> None:
+        if len(part) > CALL_MOST:  # Guards the memory limit against a call without end.
+            self._answer(400, b"the call is too large\n")
+
+    def on_message_complete(self) -> None:
+        if self._answered:
+            return
+        route = self._admin.routes.get(path_of(self._target))
+        if route is None:
+            self._answer(404, b"no such path\n")
+        elif self._parser.get_method() != route.method:
+            self._answer(405, b"another method is needed\n", b"Allow: %b\r\n" % route.method)
+        else:
+            try:
+                self._answer(200, route.answer(self._body))
+            except Rejected as fault:
+                self._answer(fault.status, fault.reason.encode() + b"\n")
+
+    def _answer(self, status: int, body: bytes, head: bytes = b"") -> None:
+        if self._answered:
+            return
+        self._answered = True
+        self._timer.cancel()
+        self._transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (
+            status, HTTPStatus(status).phrase.encode(), head, len(body), body
+        ))
+        # What a rejected caller still sends is read and dropped for a while: a reset would eat the answer.
+        self._timer = self._loop.call_later(LINGER, self._transport.abort)
+        self._transport.write_eof()
--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -26,6 +26,7 @@
     name: str
     listen: Address
     discovery: Address
+    admin: Address | None  # where operators call; None: nowhere
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -55,10 +56,12 @@
     bounds = wire.get("Bounds") or {}
     settings = read_settings(wire)
     settings.check()
+    admin = environ.get("RELAY_ADMIN_ADDR") or raw.get("admin_addr")
     return Config(
         name=environ.get("RELAY_NAME") or raw["name"],
         listen=read_address(environ.get("RELAY_LISTEN") or raw["listen"]),
         discovery=read_address(environ.get("RELAY_DISCOVERY") or raw["discovery"]),
+        admin=read_address(admin) if admin else None,
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
         known=raw.get("known") or {"index": 0, "endpoints": []},
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -24,10 +24,11 @@
     Timer,
 )
 from lugspur import discovery, upstream
+from lugspur.admin import Admin, Route
 from lugspur.config import Address, Config
-from lugspur.server import Caller, Facts, Front, Request
+from lugspur.server import Caller, Facts, Front, Rejected, Request
 
-SPARE_SOCKETS = 48  # descriptors for the listener, discovery, the loop, and callers beyond the limit
+SPARE_SOCKETS = 48  # descriptors for the listeners, discovery, the loop, operators, callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
@@ -74,6 +75,11 @@
         callers = int(CALLERS_PART * sockets)
         self._upstream = upstream.Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
         self.front = Front(config, callers, self._request)
+        self.admin = Admin({
+            b"/api/ready": Route(b"GET", self._answer_ready),
+            b"/api/evacuate": Route(b"POST", self._answer_evacuate),
+            b"/api/rejoin": Route(b"POST", self._answer_rejoin),
+        })
         reader = discovery.Reader(config.zones, config.types)
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told
@@ -106,6 +112,23 @@
                 self._abandon(call)
             return []
 
+    # ---- operators' calls ----------------------------------------------------------------------
+
+    def _answer_ready(self, _: bytes) -> bytes:
+        if not self.front.taking():
+            raise Rejected(503, "not ready")
+        return b"ready\n"
+
+    def _answer_evacuate(self, _: bytes) -> bytes:
+        self.front.evacuate()
+        return b"draining\n"
+
+    def _answer_rejoin(self, _: bytes) -> bytes:
+        if self.front.ending:
+            raise Rejected(409, "this process is ending")
+        self.front.rejoin()
+        return b"back\n"
+
     # ---- the list ----------------------------------------------------------------------------
 
     def _told(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -13,13 +13,16 @@
 import httptools
 
 from jaspershelf.model import Repeat
-from lugspur.config import Config
+from lugspur.config import Address, Config
 from lugspur.upstream import BODY_MOST, HOP_BY_HOP
 
 INPUT_MOST = 512 << 10  # bytes that one request may take on the wire, chunk framing and headers included
 REQUEST_WITHIN = 2.5  # seconds for a peer's first request, or for the rest of a later one: 3 are allowed
 LINGER = 1.0  # seconds in which a rejected sender's bytes are read and dropped: a reset would eat the answer
 BACKLOG = 1024  # connections that may wait to be accepted
+# Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
+# be left, nor a request of the last 2 s, and closing one early crosses more requests.
+IDLE_AFTER_DRAIN = 1.6
 ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
 TIME = re.compile(rb"\d{1,9}(\.\d+)?")
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
@@ -29,6 +32,24 @@
 )
 
 
+def listening_socket(address: Address) -> socket.socket:
+    """A bound socket; an OSError names the address."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    try:
+        sock.bind(address)
+    except OSError as fault:
+        sock.close()
+        raise OSError(f"{address[0]}:{address[1]}: {fault.strerror}") from fault
+    return sock
+
+
+def path_of(target: bytes) -> bytes:
+    """A target's path, without its query."""
+    return target.partition(b"?")[0]
+
+
 class Rejected(Exception):
     """A request that is answered here: its status and one line of reason."""
 
@@ -72,22 +93,44 @@
         self.most = most
         self.ready = False  # the list is loaded
         self.serving = False  # the listener accepts, and is to go on
-        self.closing = False
+        self.ending = False  # the process has been told to end
+        self.closing = False  # answers close their connection
+        self.drained = False  # operators have sent callers elsewhere, for a time
+        self._letting_go: asyncio.TimerHandle | None = None
         self.callers: set[Caller] = set()
         self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
         self.last_accept = 0.0
 
+    def taking(self) -> bool:
+        """Whether this process takes callers and knows the list."""
+        return self.ready and self.serving
+
     def healthy(self) -> bool:
         """Whether requests should be sent here."""
-        return self.ready and self.serving
+        return self.taking() and not self.drained
+
+    def evacuate(self) -> None:
+        """Let callers leave for as long as operators want it; the listener stays for those that still come.
+
+        Not a shutdown: nothing ends but connections, and `rejoin` takes all of it back.
+        """
+        if self.drained:
+            return
+        self.drained = self.closing = True
+        self._letting_go = asyncio.get_running_loop().call_later(IDLE_AFTER_DRAIN, self.close)
+
+    def rejoin(self) -> None:
+        """Back to work; a process that is told to end stays on its way out."""
+        if not self.drained:
+            return
+        self.drained = self.closing = False
+        if self._letting_go is not None:
+            self._letting_go.cancel()
 
     async def listen(self) -> socket.socket:
         """Serve on the given address alone."""
         loop = asyncio.get_running_loop()
-        sock = socket.socket()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setblocking(False)
-        sock.bind(self.config.listen)
+        sock = listening_socket(self.config.listen)
         self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         self.serving = True
@@ -110,7 +153,8 @@
         """From here on answers close their connection; those that wait for nothing are closed now."""
         self.closing = True
         for caller in tuple(self.waiting):
-            caller.close()
+            if not caller.begun:  # Guards requests on their way in: their answers close the connection.
+                caller.close()
 
     def classify(self, request: Request) -> Facts:
         """Read what the decisions need; raises Rejected where it is malformed or unknown."""
@@ -148,7 +192,7 @@
         self._busy = False
         self._dropping = False  # what further comes in is read and dropped
         self._input = 0
-        self._begun = False  # a request has come in part
+        self.begun = False  # a request has come in part
         self._limit: asyncio.TimerHandle | None = None  # until when it has to be whole
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
         self._begin()
@@ -201,7 +245,7 @@
             self._reject(413, "the request is too large")
         if self._queue:
             self._next()
-        if self._begun and self._limit is None and not self._dropping:
+        if self.begun and self._limit is None and not self._dropping:
             self._limit = self._loop.call_later(REQUEST_WITHIN, self._late)
 
     def _late(self) -> None:
@@ -210,7 +254,7 @@
         Guards the limit on sockets against peers that say nothing, or never come to an end.
         """
         self._limit = None
-        if not self._begun:
+        if not self.begun:
             self.close()
             return
         self._reject(408, "the request took too long")
@@ -227,7 +271,7 @@
         if self._dropping:
             return
         self._dropping = True
-        self._begun = False
+        self.begun = False
         self._unlimit()
         fault = Rejected(status, reason)
         self._queue.append(Request(b"", b"", {}, b"", b"", self._arrived, False, fault))
@@ -235,7 +279,7 @@
     # ---- the parser's calls ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self._begun = True
+        self.begun = True
         self._begin()
 
     def on_url(self, url: bytes) -> None:
@@ -258,7 +302,7 @@
     def on_message_complete(self) -> None:
         if self._dropping:
             return
-        self._begun = False
+        self.begun = False
         self._unlimit()
         self._queue.append(Request(
             self._parser.get_method(), b"".join(self._target), self._headers, b"".join(self._lines),
@@ -285,7 +329,7 @@
     def _dispatch(self, request: Request) -> None:
         if request.fault is not None:
             raise request.fault
-        path = request.target.partition(b"?")[0]
+        path = path_of(request.target)
         if path == b"/healthz" and request.method == b"GET":
             healthy = self._front.healthy()
             self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import json
+import os
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any, TypeVar
 
 from jaspershelf.adapter import read_settings
@@ -146,7 +149,8 @@
     """A proxy's configuration; by default nobody is at discovery's port."""
     settings: Settings = read_settings(WIRE)
     values: dict[str, Any] = {
-        "name": "n0", "listen": (HOST, 0), "discovery": (HOST, discovery), "seed": 1, "sockets": 1024,
+        "name": "n0", "listen": (HOST, 0), "discovery": (HOST, discovery), "admin": None, "seed": 1,
+        "sockets": 1024,
         "known": {"index": 7, "snapshot": True, "endpoints": entries}, "settings": settings,
         "classes": {"read": 0, "book": 1, "once": 2}, "tenants": {"acme": 0},
         "zones": {"here": 0, "there": 1}, "types": {"k": 0}, "conn_idle": 60.0, "dial_timeout": WIDE,
@@ -221,3 +225,27 @@
 def status(answer: bytes) -> int:
     """An answer's status."""
     return int(answer.split(None, 2)[1])
+
+
+def environment(
+    path: Path, listen: str, discovery: str, known: list[dict[str, Any]], **more: Any
+) -> dict[str, str]:
+    """A configuration file, and the environment that names it."""
+    path.write_text(json.dumps({
+        "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": {"index": 3, "snapshot": True, "endpoints": known}, "settings": WIRE, **more,
+    }))
+    return {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN": listen, "RELAY_DISCOVERY": discovery}
+
+
+def free_port() -> int:
+    """A port that nobody listens at."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return int(sock.getsockname()[1])
+
+
+async def connect(port: int) -> Client:
+    """A new connection to this port."""
+    return Client(*await asyncio.open_connection(HOST, port))
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -21,7 +21,10 @@
     backend,
     book,
     config,
+    connect,
     entry,
+    environment,
+    free_port,
     read,
     running,
     soon,
@@ -118,25 +121,6 @@
     asyncio.run(play())
 
 
-def environment(path: Path, listen: str, discovery: str, known: list[dict[str, object]]) -> dict[str, str]:
-    path.write_text(json.dumps({
-        "name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-        "known": {"index": 3, "snapshot": True, "endpoints": known}, "settings": WIRE,
-    }))
-    return {**os.environ, "RELAY_CONFIG": str(path), "RELAY_LISTEN": listen, "RELAY_DISCOVERY": discovery}
-
-
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
-
-
-async def connect(port: int) -> Client:
-    return Client(*await asyncio.open_connection(HOST, port))
-
-
 async def up_and_ready(port: int) -> None:
     """Wait until a process answers that it is ready."""
     async with asyncio.timeout(WIDE):
