Replace the running process on a listening socket that the platform holds

Design: with RELAY_LISTEN_FD the front adopts that socket: no bind, no listen of its own (its queue's length is the platform's), no shutdown. It accepts once the list is loaded, and only then is ready. At SIGTERM it closes its own descriptor at once, so the queue goes to the other process; answers close their connection, idle callers are closed half-way to SIGKILL, and what comes after SIGTERM is answered 0.2 s before it at the latest. Both processes count together, so each holds half of its connections to backends: the second for its first 10 s, the first from SIGTERM on. Without the variable a restart is as before.

Rejected: draining the accept queue at SIGTERM as a restart does (both processes would accept for half a second, and the callers taken last would be told to leave at once); closing idle callers at SIGTERM (each may just be sending: such requests are priced); SO_REUSEPORT (what waits in the first socket's queue is reset with it).

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -8,6 +8,8 @@
 import signal
 import socket
 import sys
+from collections.abc import Coroutine
+from typing import Any
 
 from lugspur.config import Config, ConfigError, load, load_discovery
 from lugspur.discovery import Reader
@@ -16,6 +18,9 @@
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
+GRACE_MOST, GRACE_MORE = 3.0, 0.7  # SIGKILL comes the longest deadline, and so much, after SIGTERM
+END_EARLY = 0.2  # seconds before it in which all is to be answered: a late process must not be cut off
+IDLE_PART = 0.5  # of that time after which idle callers are closed: what still comes then can be answered
 CLOSE_AFTER = 0.02  # seconds in which what has just been accepted can still be read
 
 
@@ -28,13 +33,30 @@
     proxy = Proxy(config)
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     front = proxy.front
-    listener = await front.listen()
     if config.admin is not None:
         await proxy.admin.listen(config.admin)
+    if config.listen_fd is not None:
+        # The other process takes the callers until this one can: nobody is served by a list not yet loaded.
+        await first_of(told.wait(), front.loaded.wait())
+        if told.is_set():
+            return
+    listener = await front.listen()
     gc.collect()
     gc.freeze()
     await told.wait()
-    await drain(front, listener)
+    if config.listen_fd is None:
+        await drain(front, listener)
+    else:
+        proxy.make_room()
+        await hand_over(front)
+
+
+async def first_of(*events: Coroutine[Any, Any, Any]) -> None:
+    """Wait until one of them is done, and drop the others."""
+    tasks = [asyncio.ensure_future(event) for event in events]
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    for task in tasks:
+        task.cancel()
 
 
 def reload(proxy: Proxy) -> None:
@@ -45,6 +67,22 @@
         print(f"lugspur: {fault}", file=sys.stderr, flush=True)
 
 
+async def hand_over(front: Front) -> None:
+    """Let the callers go over to the process that listens on the same socket, and end after the last."""
+    loop = asyncio.get_running_loop()
+    longest = max(row.deadline for row in front.config.settings.classes)
+    grace = min(longest, GRACE_MOST) + GRACE_MORE
+    front.serving = False
+    front.ending = front.closing = True
+    front.until = loop.time() + grace - END_EARLY
+    front.leave_listener()
+    # Most callers leave by an answer that closes; one that is closed while idle may just be sending.
+    await asyncio.sleep(IDLE_PART * grace)
+    front.close()
+    while front.callers:
+        await asyncio.sleep(0.01)
+
+
 async def drain(front: Front, listener: socket.socket) -> None:
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -27,6 +27,7 @@
     listen: Address
     discovery: Address
     admin: Address | None  # where operators call; None: nowhere
+    listen_fd: int | None  # the descriptor of a socket that listens already, held by the platform
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -47,6 +48,14 @@
     return host, int(port)
 
 
+def _read_descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise ConfigError(f"RELAY_LISTEN_FD: {text!r} is not a descriptor")
+    return int(text)
+
+
 def _indices(names: list[str]) -> dict[str, int]:
     return {name: index for index, name in enumerate(names)}
 
@@ -62,6 +71,7 @@
         listen=read_address(environ.get("RELAY_LISTEN") or raw["listen"]),
         discovery=read_address(environ.get("RELAY_DISCOVERY") or raw["discovery"]),
         admin=read_address(admin) if admin else None,
+        listen_fd=_read_descriptor(environ.get("RELAY_LISTEN_FD")),
         seed=int(raw["seed"], 16),
         sockets=int(raw["limits"]["sockets"]),
         known=raw.get("known") or {"index": 0, "endpoints": []},
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -31,6 +31,7 @@
 SPARE_SOCKETS = 48  # descriptors for the listeners, discovery, the loop, operators, callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
+OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
 
 
@@ -74,6 +75,10 @@
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
         self._upstream = upstream.Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
+        if config.listen_fd is not None:
+            # Guards the limit on descriptors: this may be the second process, and both count together.
+            self._upstream.halve()
+            self._loop.call_later(OVERLAP, self._upstream.restore)
         self.front = Front(config, callers, self._request)
         self.admin = Admin({
             b"/api/ready": Route(b"GET", self._answer_ready),
@@ -92,6 +97,10 @@
             # Guards against a discovery that is down at the start: an old list serves better than none.
             self._loop.call_later(KNOWN_AFTER, self._loaded)
 
+    def make_room(self) -> None:
+        """Leave another process, which takes the callers from here on, its part of the connections."""
+        self._upstream.halve()
+
     def reload(self, address: Address) -> None:
         """Carry on with discovery at this address; all else of the configuration stays as it was."""
         self._discovery.move(address)
@@ -137,7 +146,7 @@
         self._loaded()
 
     def _loaded(self) -> None:
-        self.front.ready = True
+        self.front.loaded.set()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
         listed = {endpoint.row.server for endpoint in endpoints}
@@ -155,7 +164,7 @@
 
     def _request(self, request: Request, caller: Caller) -> None:
         facts = self.front.classify(request)
-        deadline = request.arrived + facts.timeout - ANSWER_EARLY
+        deadline = min(request.arrived + facts.timeout - ANSWER_EARLY, self.front.until)
         self._count += 1
         call = Call(str(self._count), request, facts, caller, deadline)
         self._calls[call.rid] = call
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import re
 import socket
 from collections import deque
@@ -45,6 +46,26 @@
     return sock
 
 
+class _Inherited(socket.socket):
+    """A listening socket that the platform holds: it is neither bound here nor ever shut down."""
+
+    def listen(self, backlog: int = 0) -> None:
+        """It listens already: another length of its queue would hold for the other process too."""
+
+
+def inherited_socket(descriptor: int) -> socket.socket:
+    """The listening socket with this descriptor; an OSError names it."""
+    try:
+        sock = _Inherited(fileno=descriptor)
+    except OSError as fault:
+        raise OSError(f"RELAY_LISTEN_FD: descriptor {descriptor}: {fault.strerror}") from fault
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise OSError(f"RELAY_LISTEN_FD: descriptor {descriptor} is not a listening socket")
+    sock.setblocking(False)
+    return sock
+
+
 def path_of(target: bytes) -> bytes:
     """A target's path, without its query."""
     return target.partition(b"?")[0]
@@ -91,11 +112,12 @@
         self.config = config
         self.handle = handle
         self.most = most
-        self.ready = False  # the list is loaded
+        self.loaded = asyncio.Event()  # the list is
         self.serving = False  # the listener accepts, and is to go on
         self.ending = False  # the process has been told to end
         self.closing = False  # answers close their connection
         self.drained = False  # operators have sent callers elsewhere, for a time
+        self.until = math.inf  # in the loop's time: all that is taken has to be answered by then
         self._letting_go: asyncio.TimerHandle | None = None
         self.callers: set[Caller] = set()
         self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
@@ -103,7 +125,7 @@
 
     def taking(self) -> bool:
         """Whether this process takes callers and knows the list."""
-        return self.ready and self.serving
+        return self.loaded.is_set() and self.serving
 
     def healthy(self) -> bool:
         """Whether requests should be sent here."""
@@ -128,9 +150,10 @@
             self._letting_go.cancel()
 
     async def listen(self) -> socket.socket:
-        """Serve on the given address alone."""
+        """Serve on the given address alone, by the platform's own socket where it holds one."""
         loop = asyncio.get_running_loop()
-        sock = listening_socket(self.config.listen)
+        given = self.config.listen_fd
+        sock = listening_socket(self.config.listen) if given is None else inherited_socket(given)
         self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
         self.serving = True
@@ -149,6 +172,10 @@
             await loop.connect_accepted_socket(lambda: Caller(self), accepted)
         self._server.close()
 
+    def leave_listener(self) -> None:
+        """Accept nothing more; the queue is the other process's, and only the own descriptor is closed."""
+        self._server.close()
+
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
         self.closing = True
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
+from itertools import islice
 
 import httptools
 
@@ -192,7 +193,7 @@
 
     def __init__(self, most: int, conn_idle: float, dial_timeout: float) -> None:
         self._loop = asyncio.get_running_loop()
-        self._most = most
+        self._most = self._whole = most
         self._keep = IDLE_PART * conn_idle
         self._dial_timeout = dial_timeout
         self._dialling = 0
@@ -200,6 +201,17 @@
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
+    def halve(self) -> None:
+        """Hold half as many connections, for as long as two processes share the limit."""
+        self._most = max(1, self._whole // 2)
+        beyond = self._dialling + self._connected - self._most
+        for connection in tuple(islice(self._idle, max(0, beyond))):
+            self._drop(connection)
+
+    def restore(self) -> None:
+        """The limit is this process's alone."""
+        self._most = self._whole
+
     def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a backend now."""
         # Guards against requests on connections to a process or a place that is no more.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -149,8 +149,8 @@
     """A proxy's configuration; by default nobody is at discovery's port."""
     settings: Settings = read_settings(WIRE)
     values: dict[str, Any] = {
-        "name": "n0", "listen": (HOST, 0), "discovery": (HOST, discovery), "admin": None, "seed": 1,
-        "sockets": 1024,
+        "name": "n0", "listen": (HOST, 0), "discovery": (HOST, discovery), "admin": None,
+        "listen_fd": None, "seed": 1, "sockets": 1024,
         "known": {"index": 7, "snapshot": True, "endpoints": entries}, "settings": settings,
         "classes": {"read": 0, "book": 1, "once": 2}, "tenants": {"acme": 0},
         "zones": {"here": 0, "there": 1}, "types": {"k": 0}, "conn_idle": 60.0, "dial_timeout": WIDE,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -264,7 +264,7 @@
                 assert status(await client.ask(probe)) == 503
                 assert await soon(registry.asked.get()) == "/v1/servers?follow=1&since=7"
                 registry.say(8, [entry("a", one.address)])
-                await until(lambda: up.proxy.front.ready)
+                await until(lambda: up.proxy.front.loaded.is_set())
                 assert status(await client.ask(probe)) == 200
                 assert status(await client.ask(book())) == 200
 
