Report the figures: requests by class and end, attempts, the list and what is avoided

Design: telemetry.py holds plain counters. A request counts as taken where its class is known, and under its end where its one final answer is written, so that what the network code answers itself (no room for its connection, abandoned at the deadline) counts too; an attempt counts where the socket has taken its last byte. The list and what is avoided are asked of the module at each call; nothing is cached.

Rejected: counting in the module's events (it knows neither the answers that the network code gives nor when a last byte is out, and counts would differ from what callers saw); a registry of metrics with a library (eight names, one text form, one reader).

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -443,6 +443,11 @@
         self._arrange(now)
         return []
 
+    def targets(self, now: float) -> tuple[int, int]:
+        """How many servers the list holds, and how many of those are avoided now by choice."""
+        listed = [s for s in self.servers.values() if s.row.state is not State.GONE]
+        return len(listed), sum(s.row.state is State.UP and s.rests_until > now for s in listed)
+
     def _arrange(self, now: float) -> None:
         """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
         # A ring in scattered order, the same at every instance.
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -27,6 +27,7 @@
 from lugspur.admin import Admin, Route
 from lugspur.config import Address, Config
 from lugspur.server import Caller, Facts, Front, Rejected, Request
+from lugspur.telemetry import Telemetry
 
 SPARE_SOCKETS = 48  # descriptors for the listeners, discovery, the loop, operators, callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
@@ -79,9 +80,11 @@
             # Guards the limit on descriptors: this may be the second process, and both count together.
             self._upstream.halve()
             self._loop.call_later(OVERLAP, self._upstream.restore)
-        self.front = Front(config, callers, self._request)
+        self._telemetry = Telemetry([row.name for row in config.settings.classes])
+        self.front = Front(config, callers, self._request, self._telemetry)
         self.admin = Admin({
             b"/api/ready": Route(b"GET", self._answer_ready),
+            b"/api/telemetry": Route(b"GET", self._answer_telemetry),
             b"/api/evacuate": Route(b"POST", self._answer_evacuate),
             b"/api/rejoin": Route(b"POST", self._answer_rejoin),
         })
@@ -128,6 +131,9 @@
             raise Rejected(503, "not ready")
         return b"ready\n"
 
+    def _answer_telemetry(self, _: bytes) -> bytes:
+        return self._telemetry.text(self._upstream.dispatches, *self._balancer.targets(self._now()))
+
     def _answer_evacuate(self, _: bytes) -> bytes:
         self.front.evacuate()
         return b"draining\n"
@@ -162,8 +168,7 @@
 
     # ---- requests ------------------------------------------------------------------------------
 
-    def _request(self, request: Request, caller: Caller) -> None:
-        facts = self.front.classify(request)
+    def _request(self, request: Request, facts: Facts, caller: Caller) -> None:
         deadline = min(request.arrived + facts.timeout - ANSWER_EARLY, self.front.until)
         self._count += 1
         call = Call(str(self._count), request, facts, caller, deadline)
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -15,6 +15,7 @@
 
 from jaspershelf.model import Repeat
 from lugspur.config import Address, Config
+from lugspur.telemetry import Telemetry
 from lugspur.upstream import BODY_MOST, HOP_BY_HOP
 
 INPUT_MOST = 512 << 10  # bytes that one request may take on the wire, chunk framing and headers included
@@ -108,8 +109,12 @@
 class Front:
     """All connections of callers, within a limit on their number."""
 
-    def __init__(self, config: Config, most: int, handle: Callable[[Request, Caller], None]) -> None:
+    def __init__(
+        self, config: Config, most: int, handle: Callable[[Request, Facts, Caller], None],
+        telemetry: Telemetry,
+    ) -> None:
         self.config = config
+        self.telemetry = telemetry
         self.handle = handle
         self.most = most
         self.loaded = asyncio.Event()  # the list is
@@ -221,6 +226,7 @@
         self._input = 0
         self.begun = False  # a request has come in part
         self._limit: asyncio.TimerHandle | None = None  # until when it has to be whole
+        self._kind: int | None = None  # the class of the request that is being served
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
         self._begin()
 
@@ -249,6 +255,9 @@
         self._front.waiting.pop(self, None)
         self._queue.clear()
         self._unlimit()
+        if self._kind is not None:
+            self._kind = None
+            self._front.telemetry.left()
         gone, self.gone = self.gone, None
         if gone is not None:
             gone()
@@ -361,10 +370,13 @@
             healthy = self._front.healthy()
             self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
+            facts = self._front.classify(request)
+            self._kind = facts.kind
+            self._front.telemetry.taken()
             if len(self._front.callers) > self._front.most:  # Guards the same where none is idle.
                 self._keep_alive = False
                 raise Rejected(503, "too many connections")
-            self._front.handle(request, self)
+            self._front.handle(request, facts, self)
         else:
             raise Rejected(404, "no such path")
 
@@ -377,6 +389,9 @@
             status, HTTPStatus(status).phrase.encode(), head, len(body),
             b"" if keep else b"Connection: close\r\n", body,
         ))
+        if self._kind is not None:
+            self._front.telemetry.answered(self._kind, status)
+            self._kind = None
         if self._dropping and not self._queue:
             self._loop.call_later(LINGER, self._transport.abort)
             self._transport.write_eof()
--- /dev/null
+++ b/lugspur/telemetry.py
@@ -0,0 +1,47 @@
+"""What the proxy reports of itself: plain counters and their text form."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+REFUSED = frozenset({429, 503})
+
+
+class Telemetry:
+    """Counts since the start of the process; each request once, under its true end."""
+
+    def __init__(self, classes: Sequence[str]) -> None:
+        self._classes = classes
+        self._success = [0] * len(classes)
+        self._overload = [0] * len(classes)
+        self._error = [0] * len(classes)
+        self.concurrent = 0  # requests taken and not ended
+
+    def taken(self) -> None:
+        """A request of a known class has come in whole."""
+        self.concurrent += 1
+
+    def answered(self, kind: int, status: int) -> None:
+        """Its final answer is written, with this status."""
+        self.concurrent -= 1
+        counts = self._success if status == 200 else self._overload if status in REFUSED else self._error
+        counts[kind] += 1
+
+    def left(self) -> None:
+        """Its caller has gone before the answer."""
+        self.concurrent -= 1
+
+    def text(self, dispatches: int, targets: int, disabled: int) -> bytes:
+        """All figures, one a line."""
+        lines = [
+            f"proxy.{name}.{row}={count}"
+            for name, counts in (
+                ("success", self._success), ("overload", self._overload), ("error", self._error)
+            )
+            for row, count in zip(self._classes, counts, strict=True)
+        ]
+        lines += [
+            f"proxy.dispatches={dispatches}", f"proxy.concurrent={self.concurrent}",
+            f"proxy.targets={targets}", f"proxy.targets_disabled={disabled}",
+        ]
+        return "".join(f"{line}\n" for line in lines).encode()
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -117,13 +117,18 @@
         self.written = False
         self._transport.write(data)
         # What the socket took at once is out, unless the write itself found the connection broken.
-        self.written = not self._transport.get_write_buffer_size() and not self._transport.is_closing()
+        if not self._transport.get_write_buffer_size() and not self._transport.is_closing():
+            self._all_out()
 
     def pause_writing(self) -> None:
         """A part of the request is still unsent."""
 
     def resume_writing(self) -> None:
+        self._all_out()
+
+    def _all_out(self) -> None:
         self.written = True
+        self._upstream.dispatches += 1
 
     def usable(self) -> bool:
         """Whether it can carry another exchange."""
@@ -198,6 +203,7 @@
         self._dial_timeout = dial_timeout
         self._dialling = 0
         self._connected = 0
+        self.dispatches = 0  # attempts whose last byte is out
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
