Take backends out of use and put them back by hand, over lists and upgrades

Design: the module keeps bans by server, apart from the list's state, so no list lifts one; an excluded server leaves the lists of ready ones at once, and the sockets ask the module whether a backend takes anything. Included, it starts with nothing learned, cold from its start as the list told it meanwhile, else from the call. orders.py keeps bans and the drain in one file in $TMPDIR: changed under a lock, replaced whole, before the yes; a second process reads it at its start, and both look for news every 0.2 s, which leaves most of a drain's 1.5 s.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -243,11 +243,13 @@
     """What an instance knows of one server of the next tier."""
 
     __slots__ = (
-        "breaker", "cold_credit", "cold_seen", "latency", "out", "rests_until", "row", "seen", "unreached",
+        "breaker", "cold_credit", "cold_seen", "latency", "out", "rests_until", "row", "seen", "started",
+        "unreached",
     )
 
     def __init__(self, row: ServerRow) -> None:
         self.row = row
+        self.started = row.started  # from when on it counts as cold
         self.breaker: Breaker | None = None  # made at the first call: most rows of a big list see none
         self.out: dict[Attempt, None] = {}  # attempts in flight, oldest first
         self.latency = 0.0  # the breaker's current latency, failures counted as the time-out
@@ -256,6 +258,17 @@
         self.rests_until = 0.0  # ...and until when it is passed over for them
         self.cold_credit = self.cold_seen = 0.0
 
+    def restart(self, started: float) -> None:
+        """A new process, or one that may be: nothing learned of the old one holds."""
+        self.started = started
+        self.breaker = None
+        self.latency = 0.0
+        self.unreached = 0
+        self.rests_until = 0.0
+        # The phase is drawn anew too: a credit counted from before the restart would be full at
+        # every instance at once, and the first call of each would push the cold server over.
+        self.cold_credit = self.cold_seen = 0.0
+
     def learn(self, now: float, latency: float) -> None:
         """Move the latency that picks follow."""
         self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
@@ -362,6 +375,7 @@
         self.settings = settings
         self.rng = Random(seed)
         self.servers: dict[ServerId, Server] = {}
+        self.excluded: dict[ServerId, float] = {}  # taken out by hand, listed or not: since when
         places = {(c.only_kinds, c.only_zones): Pool(c.only_kinds, c.only_zones) for c in settings.classes}
         self.pools = list(places.values())
         self.pool_of = [places[c.only_kinds, c.only_zones] for c in settings.classes]
@@ -432,26 +446,52 @@
                 self.servers[row.server] = Server(row)
                 continue
             if row.started > known.row.started:
-                known.breaker = None  # a new process: nothing learned of the old one holds
-                known.latency = 0.0
-                known.unreached = 0
-                known.rests_until = 0.0
-                # The phase is drawn anew too: a credit counted from before the restart would be full at
-                # every instance at once, and the first call of each would push the cold server over.
-                known.cold_credit = known.cold_seen = 0.0
+                known.restart(row.started)
             known.row = row
         self._arrange(now)
         return []
 
+    def knows(self, server: ServerId) -> bool:
+        """Whether the list has ever named this server."""
+        return server in self.servers
+
+    def takes(self, server: ServerId) -> bool:
+        """Whether anything new may go to this server at all."""
+        known = self.servers.get(server)
+        return known is not None and self._takes(known)
+
+    def _takes(self, server: Server) -> bool:
+        return server.row.state is State.UP and server.row.server not in self.excluded
+
+    def exclude(self, now: float, server: ServerId) -> list[Action]:
+        """Send a server nothing more, whatever the list says of it, until it is included again."""
+        self.excluded.setdefault(server, now)
+        self._arrange(now)
+        return []
+
+    def include(self, now: float, server: ServerId) -> list[Action]:
+        """Use an excluded server again, as one that has just started.
+
+        Guards what was taken out to be restarted: the list need not have told of its start yet.
+        """
+        since = self.excluded.pop(server, None)
+        known = self.servers.get(server)
+        if since is not None and known is not None:
+            known.restart(known.row.started if known.row.started >= since else now)
+        self._arrange(now)
+        return []
+
     def targets(self, now: float) -> tuple[int, int]:
-        """How many servers the list holds, and how many of those are avoided now by choice."""
+        """How many servers the list holds, and how many of those are avoided now, by hand or by choice."""
         listed = [s for s in self.servers.values() if s.row.state is not State.GONE]
-        return len(listed), sum(s.row.state is State.UP and s.rests_until > now for s in listed)
+        avoided = [s for s in listed if s.row.server in self.excluded or
+                   (s.row.state is State.UP and s.rests_until > now)]
+        return len(listed), len(avoided)
 
     def _arrange(self, now: float) -> None:
         """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
         # A ring in scattered order, the same at every instance.
-        ready = [s for s in self.servers.values() if s.row.state is State.UP]
+        ready = [s for s in self.servers.values() if self._takes(s)]
         ready.sort(key=lambda s: (s.row.server * 0x9E3779B1 & 0xFFFFFFFF, s.row.server))
         for pool in self.pools:
             pool.ready = [s for s in ready if pool.opens(s.row)]
@@ -501,7 +541,7 @@
         pool.warm_part = 1.0 - len(cold) / len(until) if until else 1.0
 
     def _cold_until(self, server: Server) -> float:
-        started = server.row.started
+        started = server.started
         return started + self.settings.rules.cold_for if started > 0.0 else 0.0
 
     def _present(self, now: float, server: Server) -> float:
@@ -509,7 +549,7 @@
         rules, size = self.settings.rules, server.row.size or 1.0
         if self._cold_until(server) <= now:
             return size
-        warmed = max(0.0, now - server.row.started) / rules.cold_for
+        warmed = max(0.0, now - server.started) / rules.cold_for
         return size * (rules.cold_from + (1.0 - rules.cold_from) * min(1.0, warmed))
 
     def _spares_cold(self, now: float, server: Server, pool: Pool) -> bool:
@@ -807,7 +847,7 @@
         server = attempt.server
         server.out.pop(attempt, None)
         breaker = server.breaker
-        if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
+        if breaker is None or how is Outcome.VOID or attempt.sent < server.started:
             return
         if how is Outcome.UNREACHABLE:
             self._rest(now, server)
--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -13,6 +13,7 @@
 
 from lugspur.config import Config, ConfigError, load, load_discovery
 from lugspur.discovery import Reader
+from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
 from lugspur.server import Front
 
@@ -30,7 +31,7 @@
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
-    proxy = Proxy(config)
+    proxy = Proxy(config, OrderBook(path_for(os.environ, config.name)))
     loop.add_signal_handler(signal.SIGHUP, reload, proxy)
     front = proxy.front
     if config.admin is not None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -7,6 +7,9 @@
 import time
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
+
+import orjson
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import (
@@ -19,13 +22,13 @@
     Refuse,
     Repeat,
     Send,
-    State,
     Subscribe,
     Timer,
 )
 from lugspur import discovery, upstream
 from lugspur.admin import Admin, Route
 from lugspur.config import Address, Config
+from lugspur.orders import OrderBook, Orders
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.telemetry import Telemetry
 
@@ -33,6 +36,7 @@
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
+NOTICE_EVERY = 0.2  # seconds between looks for the other process's orders: a drain may take 1.5
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
 
 
@@ -64,7 +68,9 @@
 class Proxy:
     """One running proxy: the decision module between callers, backends and discovery."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, orders: OrderBook | None = None) -> None:
+        self._config = config
+        self._orders = orders or OrderBook(None)
         self._loop = asyncio.get_running_loop()
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
         self._epoch = time.time() - self._loop.time()
@@ -85,6 +91,8 @@
         self.admin = Admin({
             b"/api/ready": Route(b"GET", self._answer_ready),
             b"/api/telemetry": Route(b"GET", self._answer_telemetry),
+            b"/api/exclude": Route(b"POST", self._answer_exclude),
+            b"/api/include": Route(b"POST", self._answer_include),
             b"/api/evacuate": Route(b"POST", self._answer_evacuate),
             b"/api/rejoin": Route(b"POST", self._answer_rejoin),
         })
@@ -93,6 +101,10 @@
             config.discovery, reader, config.known["index"], self._told
         )
         self._members(ListKind.STALE, reader.endpoints(config.known))
+        self._orders.refresh()
+        self._obey(self._orders.current)
+        if config.listen_fd is not None:  # else there is no second process
+            self._notice()
         self._perform(self._decide(self._balancer.start))
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
@@ -134,14 +146,36 @@
     def _answer_telemetry(self, _: bytes) -> bytes:
         return self._telemetry.text(self._upstream.dispatches, *self._balancer.targets(self._now()))
 
+    def _answer_exclude(self, body: bytes) -> bytes:
+        name = self._named(body)
+        self._order(lambda orders: replace(orders, excluded=orders.excluded | {name}))
+        return b"excluded\n"
+
+    def _answer_include(self, body: bytes) -> bytes:
+        name = self._named(body)
+        self._order(lambda orders: replace(orders, excluded=orders.excluded - {name}))
+        return b"included\n"
+
+    def _named(self, body: bytes) -> str:
+        """The backend that a call is about; one that was never listed is none."""
+        try:
+            name = orjson.loads(body)["id"]
+        except (ValueError, TypeError, KeyError) as fault:
+            raise Rejected(400, "the body is no JSON object with an id") from fault
+        if not isinstance(name, str):
+            raise Rejected(400, "the id is no text")
+        if name not in self._orders.current.excluded and not self._balancer.knows(discovery.server_id(name)):
+            raise Rejected(404, "no such backend was ever listed")
+        return name
+
     def _answer_evacuate(self, _: bytes) -> bytes:
-        self.front.evacuate()
+        self._order(lambda orders: replace(orders, drained=True))
         return b"draining\n"
 
     def _answer_rejoin(self, _: bytes) -> bytes:
-        if self.front.ending:
+        if self.front.ending and self._config.listen_fd is None:
             raise Rejected(409, "this process is ending")
-        self.front.rejoin()
+        self._order(lambda orders: replace(orders, drained=False))
         return b"back\n"
 
     # ---- the list ----------------------------------------------------------------------------
@@ -155,6 +189,7 @@
         self.front.loaded.set()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
+        actions = self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints])
         listed = {endpoint.row.server for endpoint in endpoints}
         if kind is not ListKind.PATCH:
             for server, backend in self._backends.items():
@@ -163,8 +198,46 @@
         for endpoint in endpoints:
             row = endpoint.row
             backend = self._backends.setdefault(row.server, upstream.Backend(endpoint.address))
-            self._upstream.update(backend, endpoint.address, row.started, row.state is State.UP)
-        self._perform(self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints]))
+            self._upstream.update(
+                backend, endpoint.address, row.started, self._balancer.takes(row.server)
+            )
+        self._perform(actions)
+
+    # ---- operators' orders ---------------------------------------------------------------------
+
+    def _obey(self, orders: Orders) -> None:
+        """Make what operators have ordered, here or at the other process, hold."""
+        excluded = {discovery.server_id(name) for name in orders.excluded}
+        for server in excluded - self._balancer.excluded.keys():
+            self._perform(self._decide(self._balancer.exclude, server))
+            self._reach(server)
+        for server in self._balancer.excluded.keys() - excluded:
+            self._perform(self._decide(self._balancer.include, server))
+            self._reach(server)
+        if orders.drained:
+            self.front.evacuate()
+        else:
+            self.front.rejoin()
+
+    def _reach(self, server: int) -> None:
+        """Keep connections to a backend, or close those that are idle, as the module uses it or not."""
+        backend = self._backends.get(server)
+        if backend is not None:
+            takes = self._balancer.takes(server)
+            self._upstream.update(backend, backend.address, backend.started, takes)
+
+    def _notice(self) -> None:
+        self._loop.call_later(NOTICE_EVERY, self._notice)
+        if self._orders.refresh():
+            self._obey(self._orders.current)
+
+    def _order(self, edit: Callable[[Orders], Orders]) -> None:
+        """Keep an order, so that a second process obeys it too, and obey it."""
+        try:
+            orders = self._orders.change(edit)
+        except OSError as fault:
+            raise Rejected(503, f"the order can't be kept: {fault.strerror}") from fault
+        self._obey(orders)
 
     # ---- requests ------------------------------------------------------------------------------
 
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -150,7 +150,8 @@
         """Back to work; a process that is told to end stays on its way out."""
         if not self.drained:
             return
-        self.drained = self.closing = False
+        self.drained = False
+        self.closing = self.ending
         if self._letting_go is not None:
             self._letting_go.cancel()
 
