Count a request as taken once it is whole, and time none that waits behind another

Seen in a test with three requests sent at once, the last one waiting for 100 Continue: the word came before the second answer, and the look at what is coming in would have ended the third after 2.5 s, though nothing was read from its connection meanwhile. At fault: _end told a caller to go on without a look at its queue, and _look took a wait of ours for one of the caller's. Uploads counted in `concurrent` from their first 64 KiB on, while the protocol takes a request with its last byte.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -244,7 +244,8 @@
         self._continue_due = False  # the caller waits to be told to send its body
         self.begun = False  # a request has come in part
         self._limit: asyncio.TimerHandle | None = None  # the next look at it
-        self._kind: int | None = None  # the class of the request that is being served
+        self._kind: int | None = None  # the class of the request that is being served...
+        self._taken = False  # ...and whether it has come whole
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
         self._begin()
 
@@ -274,9 +275,7 @@
         self._front.waiting.pop(self, None)
         self._queue.clear()
         self._unwatch()
-        if self._kind is not None:
-            self._kind = None
-            self._front.telemetry.left()
+        self._count_ended()
         self._tell_gone()
 
     def _tell_gone(self) -> None:
@@ -352,7 +351,9 @@
         body = self._incoming.body if self._incoming is not None else None
         came = body.size - self._come if body is not None else 0
         self._come += came
-        if self._ticks < HEAD_TICKS or (body is not None and (body.throttled or came >= PACE_LEAST * TICK)):
+        behind = self._serving is not None and bool(self._queue)  # others come first, and nothing is read
+        waits = behind or self._continue_due or (body is not None and body.throttled)
+        if self._ticks < HEAD_TICKS or waits or (body is not None and came >= PACE_LEAST * TICK):
             return
         if not self.begun:
             self._unwatch()
@@ -455,6 +456,8 @@
         request.arrived = self._loop.time()
         if request.body.size <= HELD_MOST:
             self._queue.append(request)
+        elif request is self._serving and self._kind is not None:
+            self._count_taken()
         request.body.finish()
 
     def _throttle(self, waits: bool) -> None:
@@ -489,7 +492,8 @@
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
             facts = self._front.classify(request)
             self._kind = facts.kind
-            self._front.telemetry.taken()
+            if request.body.whole:
+                self._count_taken()
             if len(self._front.callers) > self._front.most:  # Guards the same where none is idle.
                 self._keep_alive = False
                 raise Rejected(503, "too many connections")
@@ -549,7 +553,7 @@
         """The request that was served has had its answer."""
         if self._kind is not None:
             self._front.telemetry.answered(self._kind, status)
-            self._kind = None
+        self._count_ended()
         self.gone = self._source = self._serving = None
         if self._dropping and not self._queue:
             self._loop.call_later(LINGER, self._transport.abort)
@@ -560,10 +564,20 @@
         else:
             self._front.waiting[self] = None
             self._transport.resume_reading()
-            if self._continue_due:
-                self._say_continue()
             if self._queue:
                 self._loop.call_soon(self._resume)
+            elif self._continue_due:
+                self._say_continue()
+
+    def _count_taken(self) -> None:
+        self._taken = True
+        self._front.telemetry.concurrent += 1
+
+    def _count_ended(self) -> None:
+        self._kind = None
+        if self._taken:
+            self._taken = False
+            self._front.telemetry.concurrent -= 1
 
     def _resume(self) -> None:
         if self._queue and self._serving is None:
--- a/lugspur/telemetry.py
+++ b/lugspur/telemetry.py
@@ -15,22 +15,13 @@
         self._success = [0] * len(classes)
         self._overload = [0] * len(classes)
         self._error = [0] * len(classes)
-        self.concurrent = 0  # requests taken and not ended
-
-    def taken(self) -> None:
-        """A request of a known class has come in whole."""
-        self.concurrent += 1
+        self.concurrent = 0  # requests that have come whole and are not ended
 
     def answered(self, kind: int, status: int) -> None:
-        """Its final answer is written, with this status."""
-        self.concurrent -= 1
+        """A request of this class has had its final answer, with this status."""
         counts = self._success if status == 200 else self._overload if status in REFUSED else self._error
         counts[kind] += 1
 
-    def left(self) -> None:
-        """Its caller has gone before the answer."""
-        self.concurrent -= 1
-
     def text(self, dispatches: int, targets: int, disabled: int) -> bytes:
         """All figures, one a line."""
         lines = [
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -12,7 +12,7 @@
 
 from lugspur import server
 from lugspur.body import BODY_MOST, HELD_MOST, Body
-from lugspur.server import PACE_LEAST, TICK, origin_form
+from lugspur.server import HEAD_TICKS, PACE_LEAST, TICK, origin_form
 
 LARGE = bytes(range(256)) * (4 << 12)  # 4 MiB
 HEAD = b"HTTP/1.1 200 OK\r\nX-Note: n\r\nContent-Length: %d\r\n\r\n" % len(LARGE)
@@ -397,6 +397,50 @@
     play(script)
 
 
+def test_a_request_is_not_late_that_waits_behind_another() -> None:
+    async def script() -> None:
+        async with peer() as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1) + book(2) + book(3, Expect="100-continue")[:-4])
+            reader, writer = await one.accept()
+            await until(lambda: all(caller.begun for caller in up.proxy.front.callers))
+            [caller] = up.proxy.front.callers
+            for number in (1, 2):
+                await soon(read_message(reader))
+                for _ in range(2 * HEAD_TICKS):
+                    caller._look()
+                writer.write(OK)
+                assert status(await client.answer()) == 200, number
+            assert status(await client.answer()) == 100
+            client.writer.write(b"room")
+            await soon(read_message(reader))
+            writer.write(OK)
+            assert status(await client.answer()) == 200
+            writer.close()
+
+    play(script)
+
+
+def test_a_request_counts_as_taken_once_it_is_whole() -> None:
+    async def script() -> None:
+        async with peer() as one, running([entry("a", one.address)]) as up:
+            telemetry = up.proxy.front.telemetry
+            client = await up.client()
+            client.writer.write(book(Content_Length=str(len(LARGE)), body=b"") + LARGE[:3 * HELD_MOST])
+            reader, writer = await one.accept()
+            await soon(reader.readexactly(2 * HELD_MOST))
+            assert telemetry.concurrent == 0
+            client.writer.write(LARGE[3 * HELD_MOST:])
+            await until(lambda: telemetry.concurrent == 1)
+            await soon(reader.readexactly(len(LARGE) - 2 * HELD_MOST))
+            writer.write(OK)
+            assert status(await client.answer()) == 200 and telemetry.concurrent == 0
+            assert b"proxy.success.book=1" in telemetry.text(0, 0, 0)
+            writer.close()
+
+    play(script)
+
+
 @pytest.mark.parametrize(("target", "expected"), [
     ("http://h/api/k?q=1", b"/api/k?q=1"), ("HTTP://h:80/api/k", b"/api/k"), ("/api/k?u=http://x/", b"/api/k?u=http://x/"),
 ])
