--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -380,6 +380,7 @@
         self.rng = Random(seed)
         self.servers: dict[ServerId, Server] = {}
         self.excluded: dict[ServerId, float] = {}  # taken out by hand, listed or not: since when
+        self.returned: dict[ServerId, None] = {}  # put back by hand, and sent nothing since
         places = {(c.only_kinds, c.only_zones): Pool(c.only_kinds, c.only_zones) for c in settings.classes}
         self.pools = list(places.values())
         self.pool_of = [places[c.only_kinds, c.only_zones] for c in settings.classes]
@@ -470,6 +471,7 @@
     def exclude(self, now: float, server: ServerId) -> list[Action]:
         """Send a server nothing more, whatever the list says of it, until it is included again."""
         self.excluded.setdefault(server, now)
+        self.returned.pop(server, None)
         self._arrange(now)
         return []
 
@@ -482,6 +484,7 @@
         known = self.servers.get(server)
         if since is not None and known is not None:
             known.restart(known.row.started if known.row.started >= since else now)
+            self.returned[server] = None
         self._arrange(now)
         return []
 
@@ -749,6 +752,7 @@
             return False
         if server.cold_credit > 0.0:
             server.cold_credit -= 1.0
+        self.returned.pop(server.row.server, None)
         if request.attempts:
             self.budget.spend(now)
         attempt = Attempt(server, now if request.patience is None else inf)
@@ -786,6 +790,10 @@
         if now >= pool.warm_from:
             self._count_warm(now, pool)
         tried = [a.server for a in request.attempts]
+        if self.returned and not tried and first:
+            back = self._back(now, pool)
+            if back is not None:
+                return [back]
         for _ in range(DRAWS if among else 0):
             if among is pool.working:
                 at = bisect_right(pool.ends, pool.begin + pool.width * self.rng.random())
@@ -801,6 +809,20 @@
                 break
         return found
 
+    def _back(self, now: float, pool: Pool) -> Server | None:
+        """A server that was put back by hand and has had no call yet, once it may have one.
+
+        Guards against leaving it unused: it comes back with a shorter stretch, which may lie in the slices of
+        other instances than before.
+        """
+        for number in self.returned:
+            server = self.servers[number]
+            if self._takes(server) and pool.opens(server.row) and not (
+                self._cold_until(server) > now and self._spares_cold(now, server, pool)
+            ):
+                return server
+        return None
+
     def _among(self, now: float, request: Request) -> list[Server]:
         """Where a further attempt may go by the rules; empty if nowhere.
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -109,6 +109,19 @@
     assert made.servers[2].started == 110.0
 
 
+@pytest.mark.parametrize("me", range(5))
+def test_each_instance_uses_a_server_again_that_it_used_before(me: int) -> None:
+    """Its stretch of the ring is shorter, and all others lie elsewhere: it may be in no slice of before."""
+    for out in range(1, 14):
+        made = balancer(13, balancers=5, me=me)
+        if out not in {server for _, server in play(made, 100.0, 10.0, pace=8.0)}:
+            continue
+        made.exclude(110.0, out)
+        play(made, 110.0, 5.0, pace=8.0)
+        made.include(115.0, out)
+        assert out in {server for _, server in play(made, 115.0, 5.0, pace=8.0)}, out
+
+
 def test_a_start_that_the_list_told_meanwhile_is_the_true_one() -> None:
     made = balancer(2)
     made.exclude(105.0, 2)
