Judge the start of a process by what is offered until its slower requests can be answered

Ruled out: failures (failed part 0.00 to 0.08), the list (all servers ready), the throttle (ratio 0). At fault in _admits: what is served was corrected for the age of the process though the first answers come a latency later, and the guard of the start ended with the room of the class asked for, while the longer classes that it counts beside are still out. Now the first is counted from a latency on, and the guard holds for the longest wanted time.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -186,6 +186,11 @@
         return False
 
 
+def _risen(age: float) -> float:
+    """The part of a steady rate that a `Rate` shows which has counted from zero for so long."""
+    return 1.0 - exp(-max(age, 0.2) / 2.0)
+
+
 class Rate:
     """Events a second, smoothed over two seconds."""
 
@@ -408,6 +413,7 @@
         self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.class_latency = [0.0] * len(settings.classes)  # current latency of each class
         self.room = [c.aim * (ROOM_LEAST + span * c.worth) for c in settings.classes]
+        self.longest = max(c.aim for c in settings.classes)
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
         self.accept_worth = [1.0 / (POOL_KEEPS - POOL_WORTH * c.worth / dearest) for c in settings.classes]
@@ -695,10 +701,10 @@
         if over:
             room *= 1.0 - (1.0 - self.settings.over_share_worth) * shrink
         age = now - pool.born
-        # Guards the start: nothing can have been served yet, and smoothed rates still count from zero.
-        served = pool.rate.read(now) * (1.0 if age < room else ROOM_TRIED)
-        served = max(served, pool.served.read(now))
-        served /= 1.0 - exp(-max(age, 0.2) / 2.0)
+        # Guards the start: the slower ones of the first requests are still out, so less has been served than
+        # can be, until the time is over that the longest may take.
+        offered = pool.rate.read(now) * (1.0 if age < self.longest else ROOM_TRIED) / _risen(age)
+        served = max(offered, pool.served.read(now) / _risen(age - self.pooled))
         due = room * served
         spare = max(ROOM_ALWAYS, ROOM_CHANCE * sqrt(due))
         if pool.owed > due + spare + self.alone * (1.0 - shrink):
--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -593,3 +593,19 @@
         for row in ROWS:
             unreached(b, 100.0 + n / 10, row.server)
     assert sum(server.rests_until > 100.4 for server in b.servers.values()) == len(ROWS) // 2
+
+
+def test_a_start_under_full_load_refuses_nobody() -> None:
+    """Half of the requests take longer than the others may: what was served by then tells little of what can be."""
+    quick = RequestClass("a", aim=0.5, deadline=2.0, repeat=Repeat.SAFE, worth=2.0)
+    long = RequestClass("b", aim=1.2, deadline=3.0, repeat=Repeat.SAFE, worth=2.0)
+    b = balancer(Settings(classes=(quick, long), balancers=2), ROWS[:4])
+    due: list[tuple[float, str]] = []
+    for n in range(150):
+        now = 100.0 + n / 50.0
+        for ended, rid in [each for each in due if each[0] <= now]:
+            b.outcome(ended, rid, 0, Outcome.OK, 0.6 if int(rid) % 2 else 0.2, True)
+        due = [each for each in due if each[0] > now]
+        assert isinstance(b.request(now, str(n), n % 2)[0], Send), now - 100.0
+        due.append((now + (0.6 if n % 2 else 0.2), str(n)))
+        due.sort()
