--- a/tests/test_found.py
+++ b/tests/test_found.py
@@ -596,7 +596,7 @@
 
 
 def test_a_start_under_full_load_refuses_nobody() -> None:
-    """Half of the requests take longer than the others may: what was served by then tells little of what can be."""
+    """Half of them take longer than the others may: what was served by then tells little of what can be."""
     quick = RequestClass("a", aim=0.5, deadline=2.0, repeat=Repeat.SAFE, worth=2.0)
     long = RequestClass("b", aim=1.2, deadline=3.0, repeat=Repeat.SAFE, worth=2.0)
     b = balancer(Settings(classes=(quick, long), balancers=2), ROWS[:4])
