--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -24,6 +24,7 @@
     environment,
     free_port,
     read,
+    running,
     soon,
     status,
     watches,
@@ -147,6 +148,16 @@
     assert done.stderr.count(b"\n") == 1 and b"RELAY_LISTEN_FD" in done.stderr
 
 
+def test_what_still_comes_is_answered_before_the_process_is_killed() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            up.proxy.front.until = asyncio.get_running_loop().time() + 0.1  # as after SIGTERM
+            assert status(await client.ask(book(1, timeout="30"))) in (503, 504)
+
+    asyncio.run(play())
+
+
 def test_two_processes_share_the_limit_on_connections() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one:
