Hold an answer back behind one that is not yet read; answer a call that finds a fault in the proxy

Found by reading. A transport tells its protocol once that it is full, and not again for a second answer that is begun before the first has drained: up to 32 MB of that one would have been taken up at once (Caller.pause_writing asked the answer of that moment alone). And a call of operators behind which the program fails was left without an answer, since its time had been cancelled. Both tests fail without the change.

--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import traceback
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -128,6 +129,9 @@
             self._answer(200, await route.answer(self._body))
         except Rejected as fault:
             self._answer(fault.status, fault.reason.encode() + b"\n")
+        except Exception:  # Guards the operators: a fault of ours is an answer too.
+            traceback.print_exc()
+            self._answer(500, b"this call found a fault in the proxy\n")
 
     def _answer(self, status: int, body: bytes, head: bytes = b"") -> None:
         if self._answered:
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -238,6 +238,7 @@
         self._queue: deque[Request] = deque()  # to be taken up; the last may still be coming in
         self._incoming: Request | None = None  # its head is complete, its body is not
         self._serving: Request | None = None
+        self._full = False  # the caller takes nothing now
         self._source: Exchange | None = None  # whose answer is passed on as it comes...
         self._in_chunks = self._framed = False  # ...and how
         self._dropping = False  # what further comes in is read and dropped
@@ -289,10 +290,12 @@
         self._transport.close()
 
     def pause_writing(self) -> None:
+        self._full = True
         if self._source is not None:
             self._source.hold(True)
 
     def resume_writing(self) -> None:
+        self._full = False
         if self._source is not None:
             self._source.hold(False)
 
@@ -530,6 +533,8 @@
             b"" if self._keep_alive else b"Connection: close\r\n",
         ))
         self.pass_on(response.body)
+        if self._full:  # since the answer before, perhaps
+            source.hold(True)
 
     def pass_on(self, data: bytes) -> None:
         """Write the next bytes of that answer."""
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -102,6 +102,19 @@
     asyncio.run(play())
 
 
+def test_a_fault_behind_a_call_is_answered_with_no(capfd: pytest.CaptureFixture[str]) -> None:
+    async def play() -> None:
+        async with operated([]) as (up, port):
+            def fault(now: float) -> tuple[int, int]:
+                raise RuntimeError("found by a test")
+
+            up.proxy._balancer.targets = fault  # type: ignore[method-assign]
+            assert status(await say(port, "/api/telemetry", method="GET")) == 500
+
+    asyncio.run(play())
+    assert "found by a test" in capfd.readouterr().err
+
+
 def test_silent_and_half_callers_neither_pile_up_nor_keep_a_call_out(monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with operated([]) as (up, port):
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -198,6 +198,26 @@
     play(script)
 
 
+def test_an_answer_waits_where_the_one_before_is_not_yet_read() -> None:
+    async def script() -> None:
+        async with peer() as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            await until(lambda: bool(up.proxy.front.callers))
+            [caller] = up.proxy.front.callers
+            caller.pause_writing()  # as the transport does once, for all that is written until it resumes
+            client.writer.write(read())
+            reader, writer = await one.accept()
+            await soon(read_message(reader))
+            writer.write(HEAD + LARGE)
+            await until(lambda: caller._source is not None)
+            assert caller._source is not None and caller._source.paused
+            caller.resume_writing()
+            assert (await client.answer()).endswith(LARGE)
+            writer.close()
+
+    play(script)
+
+
 def test_an_answer_may_end_with_its_connection_and_be_preceded_by_others() -> None:
     async def script() -> None:
         early = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
