--- a/jaspershelf/adapter.py
+++ b/jaspershelf/adapter.py
@@ -238,7 +238,7 @@
     "Returned": Link._returned,
     "Wake": lambda b, now, e: b.timer(now, e["Tag"]),
     "Aborted": lambda b, now, e: b.gone(now, e["Ref"]),
-    "Started": lambda b, now, e: b.begun(now, e["Ref"], e.get("RoundNo", 0)),
+    "Started": lambda b, now, e: b.begun(now, e["Ref"], e.get("RoundNo", 0), e.get("CostTime", 0.0)),
     "PingResult": lambda b, now, e: [],
     "NeighbourSays": lambda b, now, e: [],
 }
--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import replace
-from math import exp, log, sqrt
+from math import exp, inf, log, sqrt
 from random import Random
 
 from jaspershelf.model import (
@@ -294,10 +294,11 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("maybe_ran", "open", "sent", "server")
+    __slots__ = ("began", "maybe_ran", "open", "sent", "server")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
+        self.began = False  # its answer is passed on as it comes: how it was served is known already
         self.sent = sent
         self.open = True
         self.maybe_ran = True  # until its outcome proves otherwise
@@ -307,7 +308,7 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "attempts", "bound", "cost", "deadline", "done", "id", "kind", "open", "until",
+        "attempts", "bound", "cost", "deadline", "done", "id", "kind", "open", "owed", "patience", "until",
     )
 
     def __init__(self, rid: RequestId, kind: int, deadline: float) -> None:
@@ -319,7 +320,10 @@
         self.open = 0
         self.done = False
         self.cost = 1.0  # the work that is expected of it
-        self.bound = False  # a stream has begun: the request belongs to one attempt
+        self.bound = False  # it belongs to one attempt: a stream has begun, or its body can't be sent again
+        # While it is still coming in: how long after its end its deadline and `until` are.
+        self.patience: tuple[float, float] | None = None
+        self.owed = False  # it counts among those whose answers hold room
 
     def first_maybe(self) -> Attempt | None:
         """The first attempt that may have run, or may be running."""
@@ -574,9 +578,13 @@
 
     def request(
         self, now: float, rid: RequestId, kind: int = 0, tenant: int = 0, deadline: float | None = None,
-        cost: float = 0.0, retry: bool = False,
+        cost: float = 0.0, retry: bool = False, whole: bool = True,
     ) -> list[Action]:
-        """A new request; exactly one final answer is owed from here on."""
+        """A new request; exactly one final answer is owed from here on.
+
+        One that is not whole is still coming in, and its deadline is as if its last byte came now: `arrived`
+        tells when it does. Until then one attempt can be out at a time, and nothing that takes time counts.
+        """
         self.settings.check_request(kind, tenant, deadline, cost)
         if rid in self.requests:
             raise ValueError(f"rid: {rid!r} is open already")
@@ -591,7 +599,8 @@
         if now >= self.look_at:
             self._resize(now)
         out: list[Action] = []
-        pool.owed += 1
+        if whole:
+            self._owe(request)
         pool.born = min(pool.born, now)
         request.cost = cost or 1.0
         # Guards against work that cannot end in time: a heavy request, a caller with too little time left.
@@ -600,6 +609,9 @@
             self.pace *= 0.94  # a refusal teaches nothing: no unfair baseline stays for good
         over = self._over_share(now, tenant)
         taken = not hopeless and self._admits(now, kind, over)
+        if not whole:
+            request.patience = deadline - now, request.until - now
+            request.deadline = request.until = inf
         # The list stands in for a dead slice, less its cold servers: others' slices share their budget.
         rest = (pool.working, True), (pool.ready, False)
         if not taken or not any(self._send(now, request, among, first, out) for among, first in rest):
@@ -608,6 +620,32 @@
             self._answer(now, request, out)
         return out
 
+    def _owe(self, request: Request) -> None:
+        request.owed = True
+        self.pool_of[request.kind].owed += 1
+
+    def arrived(self, now: float, rid: RequestId) -> list[Action]:
+        """The rest of a request has come: its time runs from here on, and that of an attempt that is out."""
+        request = self.requests.get(rid)
+        if request is None or request.patience is None or request.done:
+            return []
+        deadline, until = request.patience
+        request.patience = None
+        request.deadline, request.until = now + deadline, now + until
+        self._owe(request)
+        for attempt in request.attempts:
+            if attempt.open:
+                attempt.sent = now
+                attempt.server.out[attempt] = attempt.server.out.pop(attempt, None)
+        return []
+
+    def bind(self, now: float, rid: RequestId) -> list[Action]:
+        """The body of a request can't be sent again: it belongs to the attempt that is out."""
+        request = self.requests.get(rid)
+        if request is not None:
+            request.bound = True
+        return []
+
     def _least(self, request: Request) -> float:
         return HOPELESS * self.pace * request.cost if self.paced >= PACED else 0.0
 
@@ -713,7 +751,7 @@
             server.cold_credit -= 1.0
         if request.attempts:
             self.budget.spend(now)
-        attempt = Attempt(server, now)
+        attempt = Attempt(server, now if request.patience is None else inf)
         server.out[attempt] = None
         self.pool_of[request.kind].sent.add(now)
         request.attempts.append(attempt)
@@ -730,6 +768,8 @@
         that stand still. Could harm in an overload, where all are late: the retry budget bounds the copies.
         """
         kind = self.settings.classes[request.kind]
+        if request.patience is not None:  # its body goes one way at a time
+            return
         due = now + OVERDUE * self.class_latency[request.kind]
         if not self.settings.limits.second_copies or kind.repeat is Repeat.UNSAFE or kind.streaming:
             return
@@ -796,9 +836,15 @@
         out.append(Refuse(request.id, self.come_back) if harmless else Fail(request.id))
         self._finish(request, out)
 
+    def _settle(self, request: Request) -> None:
+        """It holds no room any more."""
+        if request.owed:
+            request.owed = False
+            self.pool_of[request.kind].owed -= 1
+
     def _finish(self, request: Request, out: list[Action]) -> None:
         request.done = True
-        self.pool_of[request.kind].owed -= 1
+        self._settle(request)
         if not request.bound:
             out += self._cancels(request)
         if not request.open:
@@ -822,27 +868,38 @@
         attempt.open = False
         attempt.maybe_ran = how not in NEVER_RAN
         request.open -= 1
-        self._learn(now, attempt, how, latency, self.settings.classes[request.kind].aim)
-        if how is Outcome.OK:
-            usual = self.class_latency[request.kind]
-            self.class_latency[request.kind] += (latency - usual) / SMOOTH if usual > 0.0 else latency
-            gap = latency / request.cost - self.pace
-            self.pace += gap / (4.0 if gap < 0.0 else 100.0) if self.paced else gap
-            self.paced += 1
+        if how is not Outcome.OK:
+            taken = 0.0 if attempt.began else latency  # that of a transfer says nothing of the server's work
+            self._learn(now, attempt, how, taken, self.settings.classes[request.kind].aim)
+        elif not attempt.began:
+            self._learn_served(now, request, attempt, latency)
         out: list[Action] = []
         if request.done:
             if not request.open:
                 self.requests.pop(rid, None)
         elif last or how is Outcome.OK:
-            pool = self.pool_of[request.kind]
-            pool.served.add(now)
-            pool.breaker.accepted(now)
+            if not attempt.began:
+                self._count_served(now, request)
             self._finish(request, out)
         elif not request.open and not self._again(now, request, out):
             self.unserved.add(now)
             self._answer(now, request, out)
         return out
 
+    def _count_served(self, now: float, request: Request) -> None:
+        pool = self.pool_of[request.kind]
+        pool.served.add(now)
+        pool.breaker.accepted(now)
+
+    def _learn_served(self, now: float, request: Request, attempt: Attempt, latency: float) -> None:
+        """What a served attempt tells of its server, its class and the baseline by cost."""
+        self._learn(now, attempt, Outcome.OK, latency, self.settings.classes[request.kind].aim)
+        usual = self.class_latency[request.kind]
+        self.class_latency[request.kind] += (latency - usual) / SMOOTH if usual > 0.0 else latency
+        gap = latency / request.cost - self.pace
+        self.pace += gap / (4.0 if gap < 0.0 else 100.0) if self.paced else gap
+        self.paced += 1
+
     def _learn(self, now: float, attempt: Attempt, how: Outcome, latency: float, timeout: float) -> None:
         server = attempt.server
         server.out.pop(attempt, None)
@@ -885,12 +942,21 @@
             return
         server.rests_until = now + min(REST_MOST, REST * 2.0 ** (server.unreached - 1))
 
-    def begun(self, now: float, rid: RequestId, number: int) -> list[Action]:
-        """The answer of a streamed class has begun: the request belongs to this attempt."""
+    def begun(self, now: float, rid: RequestId, number: int, latency: float) -> list[Action]:
+        """An answer is passed on as it comes: the request belongs to this attempt, and counts as served.
+
+        Guards the room of others: how long the rest takes to pass says nothing of the server's work.
+        """
         request = self.requests.get(rid)
-        if request is None or request.done:
+        if request is None or request.done or not 0 <= number < len(request.attempts):
+            return []
+        attempt = request.attempts[number]
+        if not attempt.open or attempt.began:
             return []
-        request.bound = True
+        request.bound = attempt.began = True
+        self._learn_served(now, request, attempt, latency)
+        self._count_served(now, request)
+        self._settle(request)
         return self._cancels(request, number)
 
     def gone(self, now: float, rid: RequestId) -> list[Action]:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import sys
 import time
 import traceback
@@ -43,27 +44,46 @@
 class Call:
     """A request that a final answer is owed for, or that still has attempts out."""
 
-    __slots__ = ("caller", "deadline", "exchanges", "facts", "last", "request", "rid", "timer")
+    __slots__ = (
+        "_proxy", "caller", "deadline", "exchanges", "facts", "last", "passing", "request", "rid", "timer",
+    )
 
-    def __init__(self, rid: str, request: Request, facts: Facts, caller: Caller, deadline: float) -> None:
+    def __init__(self, proxy: Proxy, rid: str, request: Request, facts: Facts, caller: Caller) -> None:
+        self._proxy = proxy
         self.rid = rid
         self.request = request
         self.facts = facts
         self.caller: Caller | None = caller  # None once nothing is owed
-        self.deadline = deadline  # in the loop's time
+        self.deadline = math.inf  # in the loop's time; it has none while the request is still coming in
         self.exchanges: list[upstream.Exchange] = []
         self.last = Outcome.VOID  # how its latest attempt ended
+        self.passing = False  # its answer is passed on as it comes
         self.timer: asyncio.TimerHandle | None = None
 
-    def bytes_for(self, left: float) -> bytes:
-        """The request as it goes to a backend that is waited for so many seconds."""
-        request = self.request
-        framed = request.body or request.method != b"GET"
-        length = b"Content-Length: %d\r\n" % len(request.body) if framed else b""
-        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n%b" % (
-            request.method, request.target, request.lines, max(left, 0.001), length, request.body
+    def head_for(self, left: float) -> bytes:
+        """The request's head as it goes to a backend that is waited for so many seconds."""
+        request, body = self.request, self.request.body
+        framing = b""
+        if not body.whole and body.length is None:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        elif body.size or body.length or request.method != b"GET":
+            framing = b"Content-Length: %d\r\n" % (body.size if body.whole else body.length or 0)
+        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n" % (
+            request.method, request.target, request.lines, max(min(left, self.facts.timeout), 0.001), framing
         )
 
+    def begun(
+        self, exchange: upstream.Exchange, response: upstream.Response
+    ) -> Callable[[bytes], None] | None:
+        """An answer is passed on from here."""
+        return self._proxy.pass_on(self, exchange, response)
+
+    def ended(
+        self, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+    ) -> None:
+        """An attempt is over."""
+        self._proxy.outcome(self, exchange, outcome, response)
+
 
 class Proxy:
     """One running proxy: the decision module between callers, backends and discovery."""
@@ -242,20 +262,43 @@
     # ---- requests ------------------------------------------------------------------------------
 
     def _request(self, request: Request, facts: Facts, caller: Caller) -> None:
-        deadline = min(request.arrived + facts.timeout - ANSWER_EARLY, self.front.until)
         self._count += 1
-        call = Call(str(self._count), request, facts, caller, deadline)
+        call = Call(self, str(self._count), request, facts, caller)
         self._calls[call.rid] = call
         caller.gone = lambda: self._gone(call)
-        call.timer = self._loop.call_at(deadline, self._overdue, call)
+        whole = request.body.whole
+        if whole:
+            self._date(call)
+        else:
+            request.body.arrived = lambda: self._arrived(call)
+            request.body.let_go = lambda: self._perform(self._decide(self._balancer.bind, call.rid))
+        until = call.deadline if whole else self._loop.time() + facts.timeout
         self._perform(self._decide(
-            self._balancer.request, call.rid, facts.kind, facts.tenant, deadline + self._epoch, facts.cost,
-            facts.retry, call=call,
+            self._balancer.request, call.rid, facts.kind, facts.tenant, until + self._epoch, facts.cost,
+            facts.retry, whole, call=call,
         ))
 
+    def _date(self, call: Call) -> None:
+        """The caller's time runs from the request's last byte."""
+        call.deadline = min(call.request.arrived + call.facts.timeout - ANSWER_EARLY, self.front.until)
+        call.timer = self._loop.call_at(call.deadline, self._overdue, call)
+
+    def _arrived(self, call: Call) -> None:
+        """The rest of a request has come."""
+        if call.caller is None:
+            return
+        self._date(call)
+        self._perform(self._decide(self._balancer.arrived, call.rid, call=call))
+        for exchange in call.exchanges:
+            exchange.limit(call.deadline)
+
     def _gone(self, call: Call) -> None:
         self._settle(call)
         self._perform(self._decide(self._balancer.gone, call.rid, call=call))
+        if call.passing or not call.request.body.whole:
+            # Guards what is held for a transfer: the module does not cancel what is bound to one attempt.
+            for exchange in tuple(call.exchanges):
+                exchange.end(Outcome.CANCELLED)
 
     def _overdue(self, call: Call) -> None:
         """The client's time is up: an answer is owed now, whatever the module says."""
@@ -274,7 +317,11 @@
     def _answer(self, call: Call, status: int, head: bytes, body: bytes) -> None:
         caller = call.caller
         self._settle(call)
-        if caller is not None:
+        if caller is None:
+            return
+        if call.passing:
+            caller.cut()
+        else:
             caller.answer(status, head, body)
 
     def _settle(self, call: Call) -> None:
@@ -319,32 +366,54 @@
     def _send(self, call: Call, action: Send) -> None:
         now = self._loop.time()
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
-        number = len(call.exchanges)
-
-        def report(
-            exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
-        ) -> None:
-            self._outcome(call, number, exchange, outcome, response)
-
         exchange = upstream.Exchange(
-            self._backends[action.server], now, until, call.bytes_for, report, self._once[call.facts.kind]
+            call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
+            call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
         call.exchanges.append(exchange)
         self._upstream.start(exchange)
 
-    def _outcome(
-        self, call: Call, number: int, exchange: upstream.Exchange, outcome: Outcome,
-        response: upstream.Response | None,
+    def pass_on(
+        self, call: Call, exchange: upstream.Exchange, response: upstream.Response
+    ) -> Callable[[bytes], None] | None:
+        """An answer is too large to hold: hand it to the caller as it comes; None if nobody wants it."""
+        caller = call.caller
+        if caller is None or call.passing:
+            exchange.end(Outcome.CANCELLED)
+            return None
+        call.passing = True
+        if call.timer is not None:
+            call.timer.cancel()
+        caller.begin(exchange, response)
+        self._perform(self._decide(
+            self._balancer.begun, call.rid, exchange.number, self._latency(call, exchange), call=call
+        ))
+        return caller.pass_on
+
+    def _latency(self, call: Call, exchange: upstream.Exchange) -> float:
+        """How long an attempt has been out, of the time that counts: from the request's last byte on."""
+        return max(0.0, self._loop.time() - max(exchange.started, call.request.arrived))
+
+    def outcome(
+        self, call: Call, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
     ) -> None:
-        now = self._loop.time()
+        """An attempt is over: answer with what it brought, and tell the module."""
         call.last = outcome
-        if outcome is Outcome.OK and response is not None:
-            if now <= call.deadline:
+        if outcome is Outcome.OK and exchange.pass_on is not None:
+            self._finish(call)
+        elif outcome is Outcome.OK and response is not None:
+            if self._loop.time() <= call.deadline:
                 self._answer(call, 200, response.head, response.body)
             else:  # Guards the client's deadline against a late timer.
                 outcome = Outcome.TIMEOUT
         self._forget(call)
         self._perform(self._decide(
-            self._balancer.outcome, call.rid, number, outcome, now - exchange.started, call.caller is None,
-            call=call,
+            self._balancer.outcome, call.rid, exchange.number, outcome, self._latency(call, exchange),
+            call.caller is None, call=call,
         ))
+
+    def _finish(self, call: Call) -> None:
+        caller = call.caller
+        self._settle(call)
+        if caller is not None:
+            caller.finish()
