Callers: a client's leaving is seen at once, and every close lingers

Cause, by reading and by test: reading from a client was paused while it was served and more waited unread, so its end went unseen until the answer; a request whose client had left before it was read was sent on all the same, as was one whose dial came up after its client had left where nothing may be cancelled; a close over unread bytes (an answer that closes, a pipelined request, an idle client at the end or over the limit) reset the connection.

Change: the caller's connection is read on while it is served, bounded in bytes and requests, beyond which nothing more is taken; a request is taken up after the loop has looked at its connection once more; an attempt is begun only while an answer is owed; there is one way to close, a lingering one, whose number beyond the limit is bounded. What is queued whole as the process ends is answered, the last answer says that it closes.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -78,6 +78,10 @@
             request.method, request.target, request.lines, max(min(left, self.facts.timeout), 0.001), framing
         )
 
+    def wanted(self) -> bool:
+        """Whether an answer is still owed."""
+        return self.caller is not None
+
     def begun(
         self, exchange: upstream.Exchange, response: upstream.Response
     ) -> Callable[[bytes], None] | None:
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -18,13 +18,16 @@
 from lugspur.body import BODY_MOST, HELD_MOST, Body
 from lugspur.config import Address, Config
 from lugspur.telemetry import Telemetry
-from lugspur.upstream import BLANKS, HOP_BY_HOP, READ_BUFFER, Exchange, Response
+from lugspur.upstream import BLANKS, HOP_BY_HOP, READ_BUFFER, STUCK, Exchange, Response
 
 HEAD_MOST = 64 << 10  # bytes of a request's head
 TICK = 1.25  # seconds between looks at a request that is coming in
 HEAD_TICKS = 2  # looks after which a head has to be complete: it may take 2 s, and a bad peer 3
 PACE_LEAST = 16e3  # bytes a second of a body that is coming in: a quarter of what callers are said to send
-LINGER = 1.0  # seconds in which a rejected sender's bytes are read and dropped: a reset would eat the answer
+LINGER = 1.0  # seconds of a lingering close in which what still comes is read: a reset would eat the answer
+LINGERERS = 8  # of them beyond the limit on callers, of the spare descriptors; the next one ends the oldest
+AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that a caller may send behind a request that is being served...
+QUEUED_MOST = 32  # ...and whole requests
 BACKLOG = 1024  # connections that may wait to be accepted
 # Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
 # be left, nor a request of the last 2 s, and closing one early crosses more requests.
@@ -140,6 +143,7 @@
         self._letting_go: asyncio.TimerHandle | None = None
         self.callers: set[Caller] = set()
         self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
+        self.lingering: dict[Caller, None] = {}  # those shut down for sending, the oldest first
         self.last_accept = 0.0
 
     def taking(self) -> bool:
@@ -150,6 +154,10 @@
         """Whether requests should be sent here."""
         return self.taking() and not self.drained
 
+    def crowded(self) -> bool:
+        """Whether more callers are here than may be, those on their way out aside."""
+        return len(self.callers) - len(self.lingering) > self.most
+
     def evacuate(self) -> None:
         """Let callers leave for as long as operators want it; the listener stays for those that still come.
 
@@ -242,6 +250,8 @@
         self._source: Exchange | None = None  # whose answer is passed on as it comes...
         self._in_chunks = self._framed = False  # ...and how
         self._dropping = False  # what further comes in is read and dropped
+        self._ahead = 0  # bytes that have come since the request that is being served was taken up
+        self._due: asyncio.TimerHandle | None = None  # the next request is taken up
         self._continue_due = False  # the caller waits to be told to send its body
         self.begun = False  # a request has come in part
         self._limit: asyncio.TimerHandle | None = None  # the next look at it
@@ -266,16 +276,27 @@
         front = self._front
         front.last_accept = self._loop.time()
         front.callers.add(self)
-        if len(front.callers) > front.most and front.waiting:
-            next(iter(front.waiting)).close()  # Guards the limit on sockets: idle connections make room.
+        if front.crowded() and front.waiting:
+            next(iter(front.waiting)).close()  # Guards the limit on sockets: idle connections make room...
+        if len(front.callers) > front.most + LINGERERS and front.lingering:
+            next(iter(front.lingering)).abort()  # ...at once where too many of them linger.
         front.waiting[self] = None
         self._watch()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.callers.discard(self)
+        self._front.lingering.pop(self, None)
+        self._leave()
+        self._unwatch()
+
+    def eof_received(self) -> None:
+        """The caller has gone: nothing of it is taken up any more, whatever is still to be written."""
+        self._leave()
+        self.close()
+
+    def _leave(self) -> None:
         self._front.waiting.pop(self, None)
         self._queue.clear()
-        self._unwatch()
         self._count_ended()
         self._tell_gone()
 
@@ -285,9 +306,37 @@
             gone()
 
     def close(self) -> None:
-        """Close it, once what is written is out."""
+        """Lingering close: end the sending, once all is out, and read on for a while before the end.
+
+        Guards the last answer: to close over unread bytes resets the connection, and the answer is lost with
+        it. What is read from here on is never taken up.
+        """
         self._front.waiting.pop(self, None)
-        self._transport.close()
+        if self in self._front.lingering:
+            return
+        self._front.lingering[self] = None
+        self._take_no_more()
+        self._queue.clear()
+        self._transport.resume_reading()
+        self._transport.write_eof()
+        self._unsent, self._ticks = -1, 0
+        self._linger()
+
+    def _linger(self) -> None:
+        """End it once all has been out for LINGER, or none of what is left has gone out for STUCK."""
+        unsent = self._transport.get_write_buffer_size()
+        self._ticks = self._ticks + 1 if unsent == self._unsent else 0
+        self._unsent = unsent
+        if self._ticks * LINGER >= (STUCK if unsent else LINGER):
+            self.abort()
+        else:
+            self._limit = self._loop.call_later(LINGER, self._linger)
+
+    def abort(self) -> None:
+        """End it at once; it counts no more from here on."""
+        self._front.callers.discard(self)
+        self._front.lingering.pop(self, None)
+        self._transport.abort()
 
     def pause_writing(self) -> None:
         self._full = True
@@ -309,6 +358,11 @@
             return
         if self._incoming is None:
             self._head_size += nbytes
+        if self._serving is not None and self._serving is not self._incoming:
+            self._ahead += nbytes
+            if self._ahead > AHEAD_MOST:  # Guards memory: to read no more would hide that the caller leaves.
+                self._take_no_more()
+                return
         try:
             self._feed(READ_BUFFER[:nbytes])
         except httptools.HttpParserCallbackError:
@@ -317,8 +371,7 @@
             self._reject(400, "the request is malformed")
         if self._incoming is None and self._head_size > HEAD_MOST:  # Guards the memory limit.
             self._reject(413, "the request is too large")
-        if self._queue:
-            self._next()
+        self._next()
         if self.begun and self._limit is None and not self._dropping:
             self._watch()
 
@@ -363,20 +416,15 @@
             self.close()
             return
         self._reject(408, "the request took too long")
-        if self._queue:
-            self._next()
+        self._next()
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer what can't be read to its end; the connection is of no further use."""
         if self._dropping:
             return
-        self._dropping = True
-        self.begun = False
-        self._unwatch()
-        incoming, self._incoming = self._incoming, None
+        incoming = self._incoming
+        self._take_no_more()
         if incoming is None or incoming is not self._serving:
-            if incoming is not None and incoming in self._queue:
-                self._queue.remove(incoming)
             fault = Rejected(status, reason)
             self._queue.append(Request(
                 b"", b"", {}, b"", Body(0, self._throttle), keep_alive=False, knows_chunks=False, fault=fault
@@ -388,6 +436,15 @@
         else:
             self.answer(status, b"", reason.encode() + b"\n")
 
+    def _take_no_more(self) -> None:
+        """What has come whole is answered; what is still coming in, and all after it, is read and dropped."""
+        self._dropping = True
+        self.begun = self._continue_due = False
+        self._unwatch()
+        incoming, self._incoming = self._incoming, None
+        if incoming is not None and incoming in self._queue:
+            self._queue.remove(incoming)
+
     # ---- the parser's calls ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -446,6 +503,9 @@
         if request.body.size > BODY_MOST:
             self._reject(413, "the body is too large")
         elif before <= HELD_MOST < request.body.size:
+            if self._serving is not None:  # Guards memory, as in `buffer_updated`
+                self._take_no_more()
+                return
             self._queue.append(request)  # the rest is passed on as it comes
 
     def on_message_complete(self) -> None:
@@ -459,6 +519,8 @@
         request.arrived = self._loop.time()
         if request.body.size <= HELD_MOST:
             self._queue.append(request)
+            if len(self._queue) == QUEUED_MOST:  # Guards memory, as in `buffer_updated`
+                self._take_no_more()
         elif request is self._serving and self._kind is not None:
             self._count_taken()
         request.body.finish()
@@ -473,12 +535,21 @@
     # ---- requests and answers --------------------------------------------------------------
 
     def _next(self) -> None:
-        """Take up the next request, unless one is still unanswered."""
-        if self._serving is not None:
-            self._transport.pause_reading()  # Guards memory: a caller may not pile up requests unread.
+        """Have the next request taken up, once the loop has looked at its connection once more.
+
+        Guards against requests whose caller has left already: that it did lies behind them, still unread. A
+        timer that is due runs after what the loop has found to read.
+        """
+        if self._queue and self._serving is None and self._due is None:
+            self._front.waiting.pop(self, None)
+            self._due = self._loop.call_later(0.0, self._take)
+
+    def _take(self) -> None:
+        self._due = None
+        if not self._queue:
             return
         self._serving = request = self._queue.popleft()
-        self._front.waiting.pop(self, None)
+        self._ahead = 0
         self._keep_alive = request.keep_alive
         try:
             self._dispatch(request)
@@ -497,7 +568,7 @@
             self._kind = facts.kind
             if request.body.whole:
                 self._count_taken()
-            if len(self._front.callers) > self._front.most:  # Guards the same where none is idle.
+            if self._front.crowded():  # Guards the same where none is idle.
                 self._keep_alive = False
                 raise Rejected(503, "too many connections")
             self._front.handle(request, facts, self)
@@ -508,11 +579,9 @@
         """Write the one final answer of the request that is being served, whole."""
         request = self._serving
         if request is not None and not request.body.whole and request.fault is None:
-            self._dropping = True  # what still comes of it serves nobody
-            self._incoming = None
-            self._unwatch()
+            self._take_no_more()  # what still comes of it serves nobody
             self._transport.resume_reading()
-        keep = self._keep_alive and not self._front.closing and not self._dropping
+        keep = self._keeps()
         self._transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status, HTTPStatus(status).phrase.encode(), head, len(body),
             b"" if keep else b"Connection: close\r\n",
@@ -520,13 +589,19 @@
         ))
         self._end(status, keep)
 
+    def _keeps(self) -> bool:
+        """Whether the connection outlives the answer to this request; one behind it is still answered."""
+        if self._front.closing and self._incoming is not self._serving:
+            self._take_no_more()
+        return self._keep_alive and (bool(self._queue) or not (self._dropping or self._front.closing))
+
     def begin(self, source: Exchange, response: Response) -> None:
         """Write the beginning of an answer that comes bit by bit, framed as its caller can read it."""
         assert self._serving is not None
         self._source = source
         self._in_chunks = response.length is None and self._serving.knows_chunks
         self._framed = response.length is not None or self._in_chunks
-        self._keep_alive = self._keep_alive and self._framed and not self._front.closing
+        self._keep_alive = self._framed and self._keeps()
         framing = b"" if response.length is None else b"Content-Length: %d\r\n" % response.length
         self._transport.write(b"HTTP/1.1 200 OK\r\n%b%b%b\r\n" % (
             response.head, b"Transfer-Encoding: chunked\r\n" if self._in_chunks else framing,
@@ -544,7 +619,7 @@
         """That answer is complete."""
         if self._in_chunks:
             self._transport.write(b"0\r\n\r\n")
-        self._end(200, self._keep_alive and not self._front.closing)
+        self._end(200, self._keeps())
 
     def cut(self) -> None:
         """That answer can't be completed, and its caller has to see that."""
@@ -560,19 +635,15 @@
             self._front.telemetry.answered(self._kind, status)
         self._count_ended()
         self.gone = self._source = self._serving = None
-        if self._dropping and not self._queue:
-            self._loop.call_later(LINGER, self._transport.abort)
-            self._transport.write_eof()
-        elif not keep:
-            self._queue.clear()
+        if not keep:
             self.close()
-        else:
-            self._front.waiting[self] = None
-            self._transport.resume_reading()
-            if self._queue:
-                self._loop.call_soon(self._resume)
-            elif self._continue_due:
-                self._say_continue()
+            return
+        self._front.waiting[self] = None
+        self._transport.resume_reading()
+        if self._queue:
+            self._next()
+        elif self._continue_due:
+            self._say_continue()
 
     def _count_taken(self) -> None:
         self._taken = True
@@ -583,7 +654,3 @@
         if self._taken:
             self._taken = False
             self._front.telemetry.concurrent -= 1
-
-    def _resume(self) -> None:
-        if self._queue and self._serving is None:
-            self._next()
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -51,6 +51,9 @@
 class Client(Protocol):
     """Whose attempts these are: what each of them tells it."""
 
+    def wanted(self) -> bool:
+        """Whether an answer is still owed."""
+
     def begun(self, exchange: Exchange, response: Response) -> Callable[[bytes], None] | None:
         """An answer is too large to hold; where the rest of it goes, or None if nobody wants it."""
 
@@ -101,6 +104,10 @@
             self.connection = None
         self._client.ended(self, outcome, response)
 
+    def wanted(self) -> bool:
+        """Whether anybody still waits for its answer."""
+        return self._client.wanted()
+
     def expire(self) -> None:
         """The time that this attempt is waited for is up."""
         self.end(Outcome.TIMEOUT if self._may_have_run() else Outcome.UNREACHABLE)
@@ -431,9 +438,11 @@
 
     def _transmit(self, exchange: Exchange, connection: Connection) -> None:
         """Write the first byte, if the attempt still may go out."""
-        # Guards drains, time-outs and finished requests: dialling took time, and the world has moved on.
+        # Guards drains, time-outs, finished requests and those whose client has left, also where nothing may
+        # be cancelled: dialling took time, and the world has moved on.
         left = exchange.until - self._loop.time()
-        if not exchange.open or left <= 0.0 or not exchange.backend.in_service:
+        wanted = exchange.open and left > 0.0 and exchange.wanted()
+        if not wanted or not exchange.backend.in_service:
             self.release(connection)
             self._loop.call_soon(exchange.end, Outcome.VOID)
             return
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,274 @@
+"""Two events that cross, forced on loopback sockets: docs/crossings.md has a row for each."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import socket
+from typing import Any
+
+import pytest
+from loopback import (
+    HOST,
+    OK,
+    Client,
+    backend,
+    book,
+    config,
+    entry,
+    read,
+    running,
+    soon,
+    status,
+    until,
+)
+
+from jaspershelf.model import Limits
+from lugspur.server import AHEAD_MOST, LINGER, LINGERERS, QUEUED_MOST, Caller
+from lugspur.upstream import STUCK
+
+
+def raw(port: int) -> socket.socket:
+    """A client's socket whose calls take effect at once, between two turns of the loop."""
+    return socket.create_connection((HOST, port))
+
+
+async def handed(sock: socket.socket) -> Client:
+    """That socket as a client that waits."""
+    sock.setblocking(False)
+    return Client(*await asyncio.open_connection(sock=sock))
+
+
+# ---- the client leaves ------------------------------------------------------------------------
+
+
+def test_a_client_that_leaves_with_more_requests_unread_is_noticed_at_once() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1))
+            await soon(one.got.get())
+            [caller] = up.proxy.front.callers
+            client.writer.write(book(2))
+            await until(lambda: bool(caller._queue))
+            client.writer.write(book(3)[:50])
+            client.writer.close()
+            await soon(one.ended.get())  # its attempt is cancelled
+            await until(lambda: not up.proxy.front.callers)
+            assert one.got.empty() and up.proxy._count == 1
+
+    asyncio.run(play())
+
+
+def test_a_request_whose_client_left_before_it_was_read_is_not_sent_on() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            for _ in range(5):
+                before, sock = up.proxy.front.last_accept, raw(up.port)
+                sock.sendall(book())
+                sock.close()  # the loop has not run since: request and end are there together
+                await until(lambda before=before: up.proxy.front.last_accept > before)  # type: ignore[misc]
+                await until(lambda: not up.proxy.front.callers)
+            assert up.proxy._count == 0 and one.got.empty()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("cancel", [True, False])
+def test_an_attempt_that_waits_for_its_dial_is_not_begun_for_a_client_that_left(cancel: bool) -> None:
+    async def play() -> None:
+        settings = dataclasses.replace(config([]).settings, limits=Limits(cancel=cancel))
+        async with backend(lambda _: OK) as one:
+            async with running([entry("a", one.address)], settings=settings) as up:
+                client, loop = await up.client(), asyncio.get_running_loop()
+                await until(lambda: bool(up.proxy.front.callers))
+                asked, let = asyncio.Event(), asyncio.Event()
+                dial = loop.create_connection
+
+                async def held(*args: Any, **named: Any) -> Any:
+                    asked.set()
+                    await let.wait()
+                    return await dial(*args, **named)
+
+                loop.create_connection = held  # type: ignore[method-assign]
+                client.writer.write(book())
+                await soon(asked.wait())
+                client.writer.close()
+                await until(lambda: not up.proxy.front.callers)
+                let.set()
+                await until(lambda: not up.proxy._calls)
+                loop.create_connection = dial  # type: ignore[method-assign]
+                # What comes after shows that nothing went out before it.
+                assert status(await (await up.client()).ask(book(2))) == 200
+                assert b"id2" in one.got.get_nowait() and one.got.empty()
+                assert up.proxy._upstream.dispatches == 1
+
+    asyncio.run(play())
+
+
+def test_a_flood_behind_a_request_is_bounded_and_hides_no_leaving() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1))
+            await soon(one.got.get())
+            [caller] = up.proxy.front.callers
+            client.writer.write(book(2, body=b"x" * 4000) * (2 * AHEAD_MOST // 4000))
+            await until(lambda: caller._dropping)
+            assert len(caller._queue) <= QUEUED_MOST
+            client.writer.close()
+            await soon(one.ended.get())
+            await until(lambda: not up.proxy.front.callers)
+            assert one.got.empty()
+
+    asyncio.run(play())
+
+
+def test_of_many_requests_at_once_those_taken_are_answered_and_the_last_says_so() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(b"".join(read(n) for n in range(3 * QUEUED_MOST)))
+            answers = [await client.answer()]
+            while b"Connection: close\r\n" not in answers[-1]:
+                answers.append(await client.answer())
+            assert await soon(client.reader.read()) == b""
+            assert len(answers) == one.got.qsize() == QUEUED_MOST
+
+    asyncio.run(play())
+
+
+# ---- a connection is closed -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("closing", [False, True])
+def test_no_reset_eats_an_answer_that_closes_over_unread_bytes(
+    closing: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            up.proxy.front.closing = closing
+            sock = raw(up.port)
+            sock.sendall(book(1, Connection="" if closing else "close"))
+            answer = Caller.answer
+
+            def crossed(self: Caller, *args: Any) -> None:
+                sock.sendall(book(2))  # it lies unread as the answer is written and the connection closed
+                answer(self, *args)
+
+            monkeypatch.setattr(Caller, "answer", crossed)
+            client = await handed(sock)
+            got = await client.answer()
+            assert status(got) == 200 and b"Connection: close\r\n" in got
+            assert await soon(client.reader.read()) == b""  # a reset would raise
+            client.writer.close()
+            await until(lambda: not up.proxy.front.callers)
+            assert one.got.qsize() == 1, "what came after the end was taken up"
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("part", [book(2), book(2)[:30]])
+@pytest.mark.parametrize("kept", [True, False])
+@pytest.mark.parametrize("why", ["end", "limit"])
+def test_bytes_that_cross_the_close_of_an_idle_client_are_never_taken(
+    part: bytes, kept: bool, why: str
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            sock = raw(up.port)
+            if kept:
+                sock.sendall(book(1))
+            client = await handed(sock)
+            if kept:
+                assert status(await client.answer()) == 200
+            await until(lambda: len(up.proxy.front.waiting) == 1)
+            [caller] = up.proxy.front.callers
+            sock.send(part)
+            if why == "end":
+                up.proxy.front.close()
+            else:
+                caller.close()
+            assert await soon(client.reader.read()) == b""
+            client.writer.close()
+            await until(lambda: not up.proxy.front.callers)
+            assert one.got.qsize() == kept
+
+    asyncio.run(play())
+
+
+def test_a_request_half_read_as_the_process_ends_is_answered() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1)[:40])
+            await until(lambda: any(caller.begun for caller in up.proxy.front.callers))
+            up.proxy.front.close()
+            client.writer.write(book(1)[40:])
+            got = await client.answer()
+            assert status(got) == 200 and b"Connection: close\r\n" in got
+            assert await soon(client.reader.read()) == b""
+
+    asyncio.run(play())
+
+
+def test_what_is_queued_behind_a_request_is_answered_as_the_process_ends() -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(book(1) + read(2))
+            await soon(one.got.get())
+            up.proxy.front.close()
+            one.open[0].write(OK)
+            first = await client.answer()
+            assert b"Connection: close" not in first
+            client.writer.write(book(3))  # too late: the next answer is the last
+            await soon(one.got.get())
+            one.open[0].write(OK)
+            last = await client.answer()
+            assert status(first) == status(last) == 200 and b"Connection: close\r\n" in last
+            assert await soon(client.reader.read()) == b"" and one.got.empty()
+
+    asyncio.run(play())
+
+
+def test_connections_that_linger_are_bounded_and_end_by_themselves(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with running([], sockets=48 + 8) as up:  # 4 callers
+            front = up.proxy.front
+            many = [raw(up.port) for _ in range(4 * LINGERERS)]
+            await until(lambda: len(front.lingering) == LINGERERS)
+            await until(lambda: len(front.callers) == front.most + LINGERERS)
+            for caller in tuple(front.lingering):
+                caller._linger()  # a second after the first look
+            await until(lambda: not front.lingering)
+            for sock in many:
+                sock.close()
+
+    asyncio.run(play())
+
+
+
+
+def test_a_lingering_close_waits_for_a_slow_reader_but_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with running([]) as up:
+            client = await up.client()
+            await until(lambda: bool(up.proxy.front.callers))
+            [caller] = up.proxy.front.callers
+            left, ended = [9], asyncio.Event()
+            monkeypatch.setattr(caller._transport, "get_write_buffer_size", lambda: left[0])
+            monkeypatch.setattr(caller, "abort", ended.set)
+            caller.close()
+            for left[0] in (8, 7, 7, 6):
+                caller._linger()
+            for _ in range(int(STUCK / LINGER) - 1):
+                caller._linger()
+                assert not ended.is_set()
+            caller._linger()
+            assert ended.is_set(), "nothing goes out any more"
+            client.writer.close()
+
+    asyncio.run(play())
+
+
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -338,6 +338,9 @@
         self.upstream.update(self.known, self.known.address, 0.0, True)
         self.outcomes: asyncio.Queue[Outcome] = asyncio.Queue()
 
+    def wanted(self) -> bool:
+        return True
+
     def begun(self, exchange: Exchange, response: Response) -> Callable[[bytes], None] | None:
         raise AssertionError("no answer here is large")
 
