Discovery: the watch is a state machine whose waits add up to less than what counts as told

Need: a change counts as told 6 s after discovery had it and could be reached, 4 s after SIGHUP, whatever failed. Cause, by reading: the back-off doubled to 3 s (jitter included), a call that was never answered stood for 4 s (dial and silence), so that an outage could end in 7 s and more; any byte, even one that dripped, renewed the 3 s of silence; a list over several lines was malformed, and one that ends its answer without a line end was not read.

Change: one timer for each state (dial 0.6 s, call 2.6 s in all, silence 2.4 s of whole messages, back-off at most 0.7 s), one way out, and what an earlier watch still says is no news. The sums stand beside the constants: 5.15 s after silence, 5.9 s after an outage that ends in a call that hangs, 2.6 s at another address.

Measured: tests/test_watch.py, each case forced by events. Two tests of tests/test_proxy.py that looked into the former parts are replaced by stricter ones there (all back-offs of five failures in a row; silence at four places).

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import math
 import random
+import re
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -16,11 +17,29 @@
 from lugspur.config import Address, ConfigError, read_address
 from lugspur.events import log
 
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line end
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-SILENT = 3.0  # seconds without a line after which a watch is taken for dead: one comes every 2 s
-DIAL_MOST = 1.0  # seconds that its connection may take: what is told counts as told 6 s later, come or not
-RETRY_FIRST, RETRY_MOST = 0.1, 2.0  # seconds before a reconnect, doubling
-LINE_MOST = 4 << 20  # bytes of one line
+LINE_MOST = 4 << 20  # bytes of one line, or of one list over several
+
+# What discovery has to tell counts as told 6 s after it could be reached, 4 s after SIGHUP, whatever failed
+# on the way. Seconds, jitter included; `worst_waits` adds them up.
+SILENT = 2.4  # without a whole message, after which a watch is dead: an empty one comes every 2 s
+DIAL_MOST = 0.6  # that the connection may take...
+CALL_MOST = 2.6  # ...and all until the first whole message: discovery serves calls in turn, and one may wait
+BACKOFF_FIRST, BACKOFF_MOST = 0.15, 0.7  # before the next call, doubling; at least half of it is waited
+
+
+def worst_waits() -> dict[str, float]:
+    """The longest waits in seconds, by what went on when discovery had the news and could be reached.
+
+    In each the call that brings it takes as long as one may.
+    """
+    return {
+        "a watch falls silent": SILENT + BACKOFF_FIRST + CALL_MOST,
+        "a call is never answered, after others that failed": CALL_MOST + BACKOFF_MOST + CALL_MOST,
+        "refused, after others that failed": BACKOFF_MOST + CALL_MOST,
+        "another address": CALL_MOST,
+    }
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,7 +107,12 @@
 
 
 class Discovery:
-    """Keeps one watch open, whatever happens to it, and hands on what it tells."""
+    """Keeps one watch open, whatever happens to it, and hands on what it tells.
+
+    It is in one of five states: idle (never opened), dialling, calling (connected, nothing told yet),
+    following, or backing off (`_watch` is None). `_due` is the one timer of the state: when the dial, the
+    call, the silence or the back-off is over. Every way out of the middle three is `_over`.
+    """
 
     def __init__(
         self, address: Address, reader: Reader, index: int, told: Callable[[ListKind, list[Endpoint]], None]
@@ -97,113 +121,151 @@
         self._reader = reader
         self.index = index  # of the list as it is told
         self._told = told
-        self._task: asyncio.Task[None] | None = None
-        self.retry = RETRY_FIRST
+        self._watch: _Watch | None = None
+        self._due: asyncio.TimerHandle | None = None
+        self.failures = 0  # calls in a row that brought nothing
 
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
-        if self._task is None:
-            self._task = asyncio.get_running_loop().create_task(self._run())
+        if self._due is None:
+            self._call()
 
     def move(self, address: Address) -> None:
         """Follow discovery at another address, from where the list is now."""
         if address == self._address:
             return
         self._address = address
-        if self._task is not None:
-            self._task.cancel()
-            self._task = None
-            self.retry = RETRY_FIRST
-            self.open()
-
-    async def _run(self) -> None:
-        while True:
-            await self._follow()
-            await asyncio.sleep(self.retry * (0.5 + random.random()))
-            self.retry = min(RETRY_MOST, 2.0 * self.retry)
-
-    async def _follow(self) -> None:
-        """One watch, until it ends."""
-        loop = asyncio.get_running_loop()
-        watch = _Watch(self, f"GET /v1/servers?follow=1&since={self.index} HTTP/1.1\r\n"
-                             f"Host: {self._address[0]}\r\n\r\n".encode())
-        try:
-            async with asyncio.timeout(DIAL_MOST):
-                await loop.create_connection(lambda: watch, *self._address)
-        except OSError:
-            return
-        try:
-            await watch.ended
-        finally:
-            watch.close()
+        if self._due is not None:
+            self.failures = 0
+            self._call()
 
     def line(self, text: bytes) -> None:
-        """One line of the watch; an empty one tells only that it lives."""
-        if not text.strip():
-            self.retry = RETRY_FIRST
-            self._told(ListKind.PATCH, [])
+        """One message of the watch, whole; an empty one tells only that it lives."""
+        kind, endpoints = ListKind.PATCH, list[Endpoint]()
+        if text.strip():
+            message = orjson.loads(text)
+            # Guards the list: a message is taken whole or not at all, and the next watch resumes before it.
+            index, endpoints = read_whole(message["index"]), self._reader.endpoints(message)
+            self.index = index
+            kind = ListKind.WHOLE if message.get("snapshot") else ListKind.PATCH
+        self.failures = 0
+        if self._watch is not None:
+            self._wait(SILENT, self._over, self._watch)
+        self._told(kind, endpoints)
+
+    def _wait(self, seconds: float, then: Callable[..., None], *args: object) -> None:
+        if self._due is not None:
+            self._due.cancel()
+        self._due = asyncio.get_running_loop().call_later(seconds, then, *args)
+
+    def _call(self) -> None:
+        """Dial, and ask for the watch."""
+        self._drop()
+        self._watch = watch = _Watch(self, f"GET /v1/servers?follow=1&since={self.index} HTTP/1.1\r\n"
+                                           f"Host: {self._address[0]}\r\n\r\n".encode())
+        self._wait(DIAL_MOST, self._over, watch)
+        watch.dial(self._address)
+
+    def _connected(self, watch: _Watch) -> None:
+        if watch is self._watch:
+            self._wait(CALL_MOST - DIAL_MOST, self._over, watch)
+
+    def _over(self, watch: _Watch) -> None:
+        """This watch is no good any more; what an earlier one still has to say is no news."""
+        if watch is not self._watch:
             return
-        message = orjson.loads(text)
-        # Guards the list: a line is taken whole or not at all, and the next watch resumes before it.
-        index, endpoints = read_whole(message["index"]), self._reader.endpoints(message)
-        self.retry = RETRY_FIRST
-        self.index = index
-        self._told(ListKind.WHOLE if message.get("snapshot") else ListKind.PATCH, endpoints)
+        self._drop()
+        most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** self.failures)
+        self.failures += 1
+        self._wait(most * (0.5 + 0.5 * random.random()), self._call)
+
+    def _drop(self) -> None:
+        watch, self._watch = self._watch, None
+        if watch is not None:
+            watch.close()
 
 
 class _Watch(asyncio.Protocol):
-    """The connection of one watch."""
+    """The connection of one watch: reports what it brings, and once that it is over."""
 
     def __init__(self, discovery: Discovery, request: bytes) -> None:
         self._discovery = discovery
         self._request = request
         self._parser = httptools.HttpResponseParser(self)
-        self._loop = asyncio.get_running_loop()
-        self._buffer = b""
-        self._body: list[bytes] = []
-        self.ended = self._loop.create_future()
+        self._transport: asyncio.Transport | None = None
+        self._dial: asyncio.Task[object] | None = None
+        self._closed = False
+        self._begun = b""  # of a line
+        self._message: list[bytes] = []  # the lines of one that is not whole yet...
+        self._depth = self._size = 0  # ...how many brackets are open in it, and its bytes
+
+    def dial(self, address: Address) -> None:
+        """Connect, and ask."""
+        loop = asyncio.get_running_loop()
+        self._dial = loop.create_task(loop.create_connection(lambda: self, *address))
+        self._dial.add_done_callback(self._dialled)
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        self._silence = self._loop.call_later(SILENT, transport.abort)
-        transport.write(self._request)
+    def _dialled(self, dial: asyncio.Task[object]) -> None:
+        if not dial.cancelled() and dial.exception() is not None:
+            self._discovery._over(self)
 
     def close(self) -> None:
-        """End the watch; nothing more is told."""
-        self._transport.abort()
+        """End it; nothing more is told."""
+        self._closed = True
+        if self._dial is not None:
+            self._dial.cancel()
+        if self._transport is not None:
+            self._transport.abort()
 
-    def on_body(self, body: bytes) -> None:
-        self._body.append(body)
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        if self._closed:
+            transport.abort()
+        else:
+            transport.write(self._request)
+            self._discovery._connected(self)
 
-    def on_message_complete(self) -> None:
-        self._transport.close()
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._discovery._over(self)
 
     def data_received(self, data: bytes) -> None:
-        # Guards against a watch that hangs on a machine that vanished: nothing else would tell.
-        self._silence.cancel()
-        self._silence = self._loop.call_later(SILENT, self._transport.abort)
+        if self._closed:
+            return
         try:
             self._parser.feed_data(data)
-            self._lines()
         except Exception as fault:  # Guards against a malformed list: the last one stays.
-            log.warning("discovery.fault", error=repr(fault))
-            self._transport.abort()
+            log.warning("discovery.fault", error=repr(fault.__context__ or fault))
+            self._discovery._over(self)
 
-    def _lines(self) -> None:
-        if not self._body:
-            return
+    # ---- the parser's calls ------------------------------------------------------------------
+
+    def on_headers_complete(self) -> None:
         if self._parser.get_status_code() != 200:
-            self._transport.abort()
-            return
-        *lines, self._buffer = b"".join([self._buffer, *self._body]).split(b"\n")
-        self._body.clear()
-        if len(self._buffer) > LINE_MOST:  # Guards the memory limit against a line that never ends.
-            raise ValueError("a line is too long")
+            self._discovery._over(self)
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self._begun = (self._begun + body).split(b"\n")
         for text in lines:
-            self._discovery.line(text)
+            self._line(text)
+        if self._size + len(self._begun) > LINE_MOST:  # Guards the memory limit: it may never end.
+            raise ValueError("a line is too long")
 
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._silence.cancel()
-        if not self.ended.done():
-            self.ended.set_result(None)
+    def on_message_complete(self) -> None:
+        if self._begun.strip():  # an answer that is no watch need not end its only line
+            self._line(self._begun)
+        self._discovery._over(self)
+
+    def _line(self, text: bytes) -> None:
+        """One line: a message is one, or several where it is indented."""
+        if self._closed:
+            return
+        self._message.append(text)
+        self._size += len(text)
+        plain = STRING.sub(b"", text)
+        self._depth += plain.count(b"{") + plain.count(b"[") - plain.count(b"}") - plain.count(b"]")
+        if self._depth <= 0:
+            text = b"\n".join(self._message)
+            self._message.clear()
+            self._depth = self._size = 0
+            self._discovery.line(text)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -30,7 +30,6 @@
 
 from jaspershelf.model import Outcome, Refuse
 from lugspur.body import Body
-from lugspur.discovery import RETRY_FIRST, _Watch
 from lugspur.proxy import ANSWER_EARLY, Proxy
 from lugspur.upstream import Backend as Known
 from lugspur.upstream import Exchange, Response, Upstream
@@ -290,32 +289,6 @@
     asyncio.run(play())
 
 
-def test_a_list_that_stays_malformed_is_asked_for_less_and_less_often() -> None:
-    async def play() -> None:
-        async with watches() as registry, running([], discovery=registry.port) as up:
-            for _ in range(3):
-                await soon(registry.asked.get())
-                registry.say(12, [entry("a", "nowhere")])
-            await soon(registry.asked.get())
-            assert up.proxy._discovery.retry > 4.0 * RETRY_FIRST
-
-    asyncio.run(play())
-
-
-def test_a_silent_watch_is_given_up_before_its_news_counts_as_told() -> None:
-    async def play() -> None:
-        async with watches() as registry, running([], discovery=registry.port) as up:
-            loop = asyncio.get_running_loop()
-            watch = _Watch(up.proxy._discovery, b"GET /v1/servers?follow=1&since=7 HTTP/1.1\r\n\r\n")
-            await loop.create_connection(lambda: watch, HOST, registry.port)
-            # Lines come every 2 s and news counts as told after 6 s: a second watch needs time within that.
-            assert 2.0 < watch._silence.when() - loop.time() <= 4.0
-            watch._silence._run()
-            await soon(watch.ended)
-
-    asyncio.run(play())
-
-
 def test_a_refusal_says_when_to_come_back(monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with running([]) as up:
--- /dev/null
+++ b/tests/test_watch.py
@@ -0,0 +1,316 @@
+"""The watch on discovery through all that may go wrong: what it waits for, and that its list comes."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import pytest
+from loopback import HOST, WIDE, config, entry, running, soon, until, watches
+
+from jaspershelf.model import Discovery as Mode
+from jaspershelf.model import ListKind
+from lugspur import discovery as module
+from lugspur.discovery import (
+    BACKOFF_FIRST,
+    BACKOFF_MOST,
+    CALL_MOST,
+    DIAL_MOST,
+    SILENT,
+    Discovery,
+    Endpoint,
+    Reader,
+    worst_waits,
+)
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TOLD_AFTER, TOLD_AFTER_MOVE = 6.0, 4.0  # seconds, as the operators count
+EMPTY_EVERY = 2.0  # seconds between the empty lines of a watch
+
+
+def message(index: int, **layout: Any) -> bytes:
+    entries = [entry("a{[\\\"}", f"{HOST}:1"), entry("b", f"{HOST}:2")]
+    return json.dumps({"index": index, "snapshot": True, "endpoints": entries}, **layout).encode() + b"\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class Registry:
+    """A discovery of which each call is served by the next script; the last one serves all further ones."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self.scripts = list(scripts)
+        self.asked: asyncio.Queue[str] = asyncio.Queue()
+        self.port = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        request = await reader.readuntil(b"\r\n\r\n")
+        script = self.scripts.pop(0) if len(self.scripts) > 1 else self.scripts[0]
+        await script(reader, writer)
+        self.asked.put_nowait(request.split()[1].decode())
+
+
+@asynccontextmanager
+async def registry(*scripts: Script) -> AsyncIterator[Registry]:
+    stub = Registry(*scripts)
+    server = await asyncio.start_server(stub.serve, HOST, 0)
+    stub.port = server.sockets[0].getsockname()[1]
+    try:
+        yield stub
+    finally:
+        server.close()
+
+
+def says(*parts: bytes, end: str = "") -> Script:
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"".join(parts))
+        if end == "reset":
+            writer.transport.abort()
+        elif end == "close":
+            writer.close()
+    return script
+
+
+GOOD = says(HEAD, chunk(message(9)))
+
+
+def fire(watch: Discovery) -> None:
+    """The timer of its state falls due now."""
+    handle = watch._due
+    assert handle is not None
+    callback, args = handle._callback, handle._args  # type: ignore[attr-defined]
+    handle.cancel()
+    callback(*args)
+
+
+class Followed:
+    """A watch, the waits that it began and what it told."""
+
+    def __init__(self, port: int) -> None:
+        self.waits: list[float] = []
+        self.told: asyncio.Queue[int] = asyncio.Queue()
+        self.watch = Discovery((HOST, port), Reader({"here": 0}, {"k": 0}), 7, self._tell)
+        wait = self.watch._wait
+
+        def noted(seconds: float, then: Callable[..., None], *args: object) -> None:
+            self.waits.append(seconds)
+            wait(100.0 * WIDE, then, *args)  # over only where a test says so
+
+        self.watch._wait = noted  # type: ignore[method-assign]
+
+    def _tell(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
+        self.told.put_nowait(len(endpoints))
+
+    def due(self) -> None:
+        """What the watch waits for now takes too long, or a back-off is over."""
+        fire(self.watch)
+
+    def close(self) -> None:
+        if self.watch._due is not None:
+            self.watch._due.cancel()
+        self.watch._drop()
+
+
+@asynccontextmanager
+async def following(port: int) -> AsyncIterator[Followed]:
+    made = Followed(port)
+    made.watch.open()
+    try:
+        yield made
+    finally:
+        made.close()
+
+
+def test_the_waits_add_up_to_less_than_what_counts_as_told() -> None:
+    sums = worst_waits()
+    assert max(sums.values()) < TOLD_AFTER
+    assert sums["another address"] + BACKOFF_FIRST < TOLD_AFTER_MOVE
+    assert SILENT > EMPTY_EVERY and DIAL_MOST < CALL_MOST
+
+
+@pytest.mark.parametrize("name", [
+    "refused", "503", "503 without a body", "reset", "reset after the headers", "cut in a line", "closed",
+    "malformed", "an endless line",
+])
+def test_after_a_call_that_fails_the_next_one_comes_in_time(
+    name: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(module, "LINE_MOST", 5000)
+    bad = {
+        "503": says(b"HTTP/1.1 503 Busy\r\nContent-Length: 4\r\n\r\nbusy"),
+        "503 without a body": says(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"),
+        "reset": says(end="reset"),
+        "reset after the headers": says(HEAD, chunk(b"{"), end="reset"),
+        "cut in a line": says(HEAD, chunk(message(9)[:-20]), end="close"),
+        "closed": says(end="close"),
+        "malformed": says(HEAD, chunk(b'{"index": 9}\n')),
+        "an endless line": says(HEAD, chunk(b'{"index": [' + b"1," * 2000), chunk(b"2," * 2000)),
+    }
+
+    async def play() -> None:
+        async with registry(*([bad[name]] * 5 if name in bad else []), GOOD) as stub:
+            async with following(1 if name == "refused" else stub.port) as up:
+                for n in range(5):
+                    await until(lambda n=n: up.watch.failures == n + 1)  # type: ignore[misc]
+                    most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** n)
+                    assert up.watch._watch is None and 0.5 * most <= up.waits[-1] <= most
+                    assert up.told.empty() and up.watch.index == 7
+                    if n == 4:
+                        up.watch._address = HOST, stub.port
+                    up.due()
+                assert await soon(up.told.get()) == 2
+                assert (up.watch.failures, up.watch.index, up.waits[-1]) == (0, 9, SILENT)
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("name", ["the first byte", "the headers", "half a line", "an empty line"])
+def test_a_watch_that_falls_silent_is_opened_anew(name: str) -> None:
+    parts = {"the first byte": [], "the headers": [HEAD], "half a line": [HEAD, chunk(message(8)[:30])],
+             "an empty line": [HEAD, chunk(b"\n")]}[name]
+
+    async def play() -> None:
+        async with registry(says(*parts), GOOD) as stub, following(stub.port) as up:
+            await soon(stub.asked.get())
+            if name == "an empty line":
+                await soon(up.told.get())
+            assert up.waits[0] == DIAL_MOST and up.waits[1] == CALL_MOST - DIAL_MOST
+            assert up.waits[2:] == ([SILENT] if name == "an empty line" else [])
+            up.due()
+            assert up.watch._watch is None and up.waits[-1] <= BACKOFF_FIRST
+            up.due()
+            assert await soon(up.told.get()) == 2
+
+    asyncio.run(play())
+
+
+def test_bytes_that_drip_are_no_sign_of_life() -> None:
+    async def play() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def drips(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(HEAD + chunk(b"\n"))
+            writers.append(writer)
+
+        async with registry(drips, GOOD) as stub, following(stub.port) as up:
+            await soon(up.told.get())
+            before, line = len(up.waits), message(8)
+            for at in range(len(line) - 1):
+                writers[0].write(chunk(line[at:at + 1]))
+            await until(lambda: up.watch._watch is not None and up.watch._watch._begun == line[:-1])
+            assert len(up.waits) == before, "the wait for a whole message began again"
+            writers[0].write(chunk(line[-1:]))
+            assert await soon(up.told.get()) == 2 and up.waits[before:] == [SILENT]
+
+    asyncio.run(play())
+
+
+def test_a_dial_that_never_comes_up_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with registry(GOOD) as stub:
+            loop, cancelled = asyncio.get_running_loop(), asyncio.Event()
+            dial = loop.create_connection
+
+            async def held(*_: Any) -> Any:
+                try:
+                    await asyncio.sleep(10 * WIDE)
+                finally:
+                    cancelled.set()
+
+            loop.create_connection = held  # type: ignore[method-assign, assignment]
+            async with following(stub.port) as up:
+                assert up.waits == [DIAL_MOST]
+                await asyncio.sleep(0)
+                up.due()
+                await soon(cancelled.wait())
+                loop.create_connection = dial  # type: ignore[method-assign]
+                up.due()
+                assert await soon(up.told.get()) == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("indent", [None, 0, 1, 4, "\t"])
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_list_may_be_indented_and_be_an_answer_of_its_own(indent: int | str | None, whole: bool) -> None:
+    text = message(9, indent=indent)
+
+    async def play() -> None:
+        if whole:
+            text_ = text.rstrip(b"\n")
+            script = says(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(text_), text_)
+        else:
+            script = says(HEAD, chunk(b"\n"), chunk(text[:40]), chunk(text[40:] + b"\r\n"))
+        async with registry(script) as stub, following(stub.port) as up:
+            while await soon(up.told.get()) != 2:
+                pass
+            assert up.watch.index == 9
+
+    asyncio.run(play())
+
+
+def test_another_address_is_asked_while_a_call_is_out_and_the_old_answer_is_no_news() -> None:
+    async def play() -> None:
+        writers: list[asyncio.StreamWriter] = []
+
+        async def holds(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+
+        async with registry(holds) as old, registry(says(HEAD, chunk(b"\n")), GOOD) as new:
+            async with following(old.port) as up:
+                await soon(old.asked.get())
+                up.watch.failures = 6  # the old one has long been out of order
+                stale = up.watch._watch
+                up.watch.move((HOST, new.port))
+                writers[0].write(HEAD + chunk(message(50)))
+                assert await soon(new.asked.get()) == "/v1/servers?follow=1&since=7"
+                assert await soon(up.told.get()) == 0
+                assert stale is not None
+                stale.data_received(HEAD + chunk(message(50)))
+                stale.connection_lost(None)
+                assert up.told.empty() and up.watch.index == 7 and up.watch._watch is not stale
+                assert up.watch.failures == 0
+                up.due()
+                assert up.waits[-1] <= BACKOFF_FIRST
+                up.due()
+                assert await soon(up.told.get()) == 2
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("mode", [Mode.PUSHED, Mode.ON_REQUEST])
+def test_the_list_comes_back_after_an_outage_whether_pushed_or_asked_for(mode: Mode) -> None:
+    async def play() -> None:
+        rules = dataclasses.replace(config([]).settings.rules, ask_within=0.01)
+        settings = dataclasses.replace(config([]).settings, discovery=mode, rules=rules)
+        async with watches() as stub, running([], discovery=stub.port, settings=settings) as up:
+            watch = up.proxy._discovery
+            await soon(stub.asked.get())
+            stub.say(8, [entry("a", f"{HOST}:1")], snapshot=True)
+            await until(lambda: watch.index == 8)
+            assert stub.writer is not None
+            stub.writer.transport.abort()  # it goes down, and stays down for many calls
+            address = watch._address
+            watch._address = HOST, 1
+            for n in range(8):
+                await until(lambda n=n: watch._watch is None and watch.failures > n)  # type: ignore[misc]
+                assert watch._due is not None
+                left = watch._due.when() - asyncio.get_running_loop().time()
+                assert left <= BACKOFF_MOST
+                if n == 7:
+                    watch._address = address
+                fire(watch)
+            assert await soon(stub.asked.get()) == "/v1/servers?follow=1&since=8"
+            stub.say(9, [entry("b", f"{HOST}:2")])
+            await until(lambda: watch.index == 9)
+
+    asyncio.run(play())
