Upstream: a request goes on a kept connection only if nothing has come there, and after a rest

Cause, by reading and by test: an idle connection's end, a reset, half a status line or an answer that nobody asked for, unread in the loop turn in which a request is given that connection, spoilt that request: an unsafe one failed, and a whole answer was passed on as this request's own, which loses it. The same happened with a second answer that comes some milliseconds after the first, where the next request was already on the connection.

Change: before a kept connection is used its socket is polled, and dropped if anything is there; after an answer it is not used for 20 ms.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import select
 from collections.abc import Callable
 from dataclasses import dataclass
 from itertools import islice
@@ -18,6 +19,7 @@
 STALLED = 8.0  # seconds after which a transfer is given up that a backend does not carry on...
 STUCK = 30.0  # ...or for which its caller makes no room: a slow one may empty a full socket in 20
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
+SETTLE = 0.02  # seconds after an answer in which a connection is not used again: a second one may come late
 READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
@@ -194,6 +196,8 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=0)  # resume_writing then tells that all is out
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         self._upstream.made()
 
     # ---- the request ----------------------------------------------------------------------------
@@ -255,6 +259,13 @@
         """Whether it can carry another exchange."""
         return not self._transport.is_closing()
 
+    def quiet(self) -> bool:
+        """Whether nothing has come on it that the loop has not read yet: its end, or what nobody asked for.
+
+        Guards what is written to it next: that would be lost, or answered with something else.
+        """
+        return not self._poll.poll(0)
+
     def abandon(self) -> None:
         """Close at once, unsent bytes dropped."""
         self.exchange = None
@@ -401,16 +412,10 @@
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
         exchange.limit(exchange.until)
-        idle = exchange.backend.idle
-        # Guards what can't be sent again: backends may close connections sooner than they need to, and a
-        # request that is written to one of those is lost. One used less than a dial ago is as good as new.
-        latest = self._loop.time() - self._dial_timeout if exchange.once else float("-inf")
-        while idle and idle[-1].idle_since > latest:
-            connection = idle.pop()
-            del self._idle[connection]
-            if connection.usable():
-                self._transmit(exchange, connection)
-                return
+        connection = self._idle_connection(exchange)
+        if connection is not None:
+            self._transmit(exchange, connection)
+            return
         if self._dialling + self._connected >= self._most:
             # Guards the limit on sockets: idle ones make room, else it never ran and may go elsewhere.
             if not self._idle:
@@ -419,6 +424,23 @@
             self._drop(next(iter(self._idle)))
         exchange.dial = self._loop.create_task(self._dial(exchange))
 
+    def _idle_connection(self, exchange: Exchange) -> Connection | None:
+        """The most recently used one that may carry this exchange, taken out of the idle ones."""
+        now = self._loop.time()
+        # Guards what can't be sent again: backends may close connections sooner than they need to, and a
+        # request that is written to one of those is lost. One used less than a dial ago is as good as new.
+        since = now - self._dial_timeout if exchange.once else -math.inf
+        for connection in exchange.backend.idle[::-1]:
+            if connection.idle_since <= since:
+                break
+            if connection.idle_since > now - SETTLE:
+                continue
+            self._forget(connection)
+            if connection.usable() and connection.quiet():
+                return connection
+            connection.abandon()
+        return None
+
     async def _dial(self, exchange: Exchange) -> None:
         backend = exchange.backend
         self._dialling += 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -224,7 +224,7 @@
             assert b"Connection: close" not in first
             client.writer.write(book(3))  # too late: the next answer is the last
             await soon(one.got.get())
-            one.open[0].write(OK)
+            one.open[-1].write(OK)
             last = await client.answer()
             assert status(first) == status(last) == 200 and b"Connection: close\r\n" in last
             assert await soon(client.reader.read()) == b"" and one.got.empty()
