Start and end: impossible settings end the start, the system's limit holds, late requests are answered

Cause, by reading and by test: idle times or dial times of nothing, no classes, or two of one name were taken as they came; where the system grants fewer descriptors than the settings say, idle clients could take all of them, and a discovery that came back could not be reached; in a drain a request that arrived late on a connection that was still open could wait beyond SIGKILL (the bound on it held for a hand-over alone).

Change: those settings give one line and exit 2; the lower of both limits counts; drain and hand-over begin and end by the same two functions. Tests: 400 idle clients against 128 descriptors with discovery down and back (the watch, the operators and a call get theirs, no complaint in the log); a request completed after SIGTERM is answered before the process may be killed; impossible values; unknown keys.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -106,15 +106,26 @@
 
 async def hand_over(front: Front) -> None:
     """Let the callers go over to the process that listens on the same socket, and end after the last."""
-    loop = asyncio.get_running_loop()
-    longest = max(row.deadline for row in front.config.settings.classes)
-    grace = min(longest, GRACE_MOST) + GRACE_MORE
-    front.serving = False
-    front.ending = front.closing = True
-    front.until = loop.time() + grace - END_EARLY
+    grace = end(front)
+    front.closing = True
     front.leave_listener()
     # Most callers leave by an answer that closes; one that is closed while idle may just be sending.
     await asyncio.sleep(IDLE_PART * grace)
+    await let_go(front)
+
+
+def end(front: Front) -> float:
+    """Begin to end: what comes from here on is answered before SIGKILL, so many seconds away, may come."""
+    longest = max(row.deadline for row in front.config.settings.classes)
+    grace = min(longest, GRACE_MOST) + GRACE_MORE
+    front.serving = False
+    front.ending = True
+    front.until = asyncio.get_running_loop().time() + grace - END_EARLY
+    return grace
+
+
+async def let_go(front: Front) -> None:
+    """Close what is idle, and wait until all callers have had their answers and are gone."""
     front.close()
     while front.callers:
         await asyncio.sleep(0.01)
@@ -123,8 +134,7 @@
 async def drain(front: Front, listener: socket.socket) -> None:
     """Take what is still coming, answer all that was taken, and let go of the callers."""
     loop = asyncio.get_running_loop()
-    front.serving = False
-    front.ending = True
+    end(front)
     # Guards what is on its way: the callers' front goes on sending connections for a moment.
     begun = loop.time()
     while (passed := loop.time() - begun) < LISTEN_MOST:
@@ -133,9 +143,7 @@
         await asyncio.sleep(0.02)
     await front.stop_listening(listener)
     await asyncio.sleep(CLOSE_AFTER)
-    front.close()
-    while front.callers:
-        await asyncio.sleep(0.01)
+    await let_go(front)
 
 
 def complain(fault: Exception) -> None:
--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import math
+import resource
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -175,6 +177,22 @@
     return found
 
 
+def _descriptors(stated: int) -> int:
+    """How many descriptors there are: what is stated, or the system's own limit where that is lower."""
+    if stated < 1:
+        raise ConfigError(f"limits: {stated} sockets is no limit to work with")
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return stated if soft == resource.RLIM_INFINITY else min(stated, soft)
+
+
+def _seconds(bounds: Mapping[str, Any], key: str, default: float) -> float:
+    """A time of the settings' bounds, in seconds; nothing works without one above 0."""
+    value = float(bounds.get(key, default))
+    if not 0.0 < value < math.inf:
+        raise ConfigError(f"Bounds.{key}: {value} is no time above 0")
+    return value
+
+
 def _indices(names: list[str]) -> dict[str, int]:
     return {name: index for index, name in enumerate(names)}
 
@@ -182,6 +200,10 @@
 def _read(environ: Mapping[str, str], raw: dict[str, Any]) -> Config:
     wire = raw["settings"]
     bounds = wire.get("Bounds") or {}
+    rows = wire["Services"]
+    names = [row["Name"] for row in rows if row["Aim"] is not None and row["HardLimit"] is not None]
+    if not names or len(set(names)) < len(rows):
+        raise ConfigError("Services: no class, one without its times, or two of one name")
     settings = read_settings(wire)
     zones = _indices(wire.get("Zones") or [])
     own = setting(environ, raw, "zone")
@@ -203,15 +225,15 @@
         admin=read_address(admin) if admin else None,
         listen_fd=_read_descriptor(environ.get("RELAY_LISTEN_FD")),
         seed=int(raw["seed"], 16),
-        sockets=int(raw["limits"]["sockets"]),
+        sockets=_descriptors(int(raw["limits"]["sockets"])),
         known=raw.get("known") or {"index": 0, "endpoints": []},
         settings=settings,
         classes=_indices([row.name for row in settings.classes]),
         tenants=_indices([row.name for row in settings.tenants]),
         zones=zones,
         types=_indices(wire.get("HostTypes") or []),
-        conn_idle=float(bounds.get("ConnIdle", 15.0)),
-        dial_timeout=float(bounds.get("DialTimeout", 0.25)),
+        conn_idle=_seconds(bounds, "ConnIdle", 15.0),
+        dial_timeout=_seconds(bounds, "DialTimeout", 0.25),
         membership=_read_membership(environ, raw, listen),
         subsetting=setting(environ, raw, "subsetting") in (True, "on", "1", "true"),
         muted=setting(environ, raw, "log") == "off",
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -33,8 +33,10 @@
     watches,
 )
 
+from lugspur import __main__ as main_module
 from lugspur.__main__ import drain
 from lugspur.body import BODY_MOST, HELD_MOST
+from lugspur.config import load
 from lugspur.proxy import Proxy
 from lugspur.server import HEAD_TICKS, TICK, Caller
 
@@ -248,6 +250,96 @@
     asyncio.run(play())
 
 
+def test_idle_clients_leave_room_for_the_watch_operators_and_calls(tmp_path: Path) -> None:
+    """Far more of them than there are descriptors come while discovery is down; then it comes back."""
+    async def play() -> None:
+        async with backend(lambda _: OK) as one:
+            port, admin, hidden = free_port(), free_port(), free_port()
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{hidden}",
+                              [entry("a", one.address)])
+            env["RELAY_ADMIN_ADDR"] = f"{HOST}:{admin}"
+            with open(tmp_path / "log", "wb") as log:
+                process = await asyncio.create_subprocess_shell(
+                    f"ulimit -n 128; exec {sys.executable} -m lugspur", cwd=ROOT, env=env, stderr=log
+                )
+            await up_and_ready(port)
+            many = [socket.create_connection((HOST, port)) for _ in range(400)]
+            asked: asyncio.Queue[bytes] = asyncio.Queue()
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                asked.put_nowait(await reader.readuntil(b"\r\n\r\n"))
+
+            registry = await asyncio.start_server(serve, HOST, hidden)
+            assert b"follow=1" in await soon(asked.get())
+            operator = await connect(admin)
+            assert status(await operator.ask(b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n")) == 200
+            client = await connect(port)
+            assert status(await client.ask(book(1))) == 200
+            for sock in many:
+                sock.close()
+            process.send_signal(signal.SIGTERM)
+            assert await soon(process.wait()) == 0
+            registry.close()
+            assert b"out of system resource" not in (tmp_path / "log").read_bytes()
+
+    asyncio.run(play())
+
+
+def test_what_arrives_after_the_signal_is_answered_before_the_process_is_killed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(main_module, "GRACE_MOST", 0.5)
+
+    async def play() -> None:
+        async with backend(lambda _: None) as one:
+            front = Proxy(config([entry("a", one.address)])).front
+            listener = await front.listen()
+            client = await connect(listener.getsockname()[1])
+            client.writer.write(book(1, timeout="30")[:50])
+            await until(lambda: any(caller.begun for caller in front.callers))
+            begun = asyncio.get_running_loop().time()
+            ending = asyncio.create_task(drain(front, listener))
+            await asyncio.sleep(0)
+            assert front.until < begun + 0.5 + main_module.GRACE_MORE
+            await until(lambda: front.closing)
+            client.writer.write(book(1, timeout="30")[50:])
+            answer = await client.answer()
+            assert status(answer) in (502, 503, 504) and b"Connection: close\r\n" in answer
+            assert await soon(client.reader.read()) == b""
+            await soon(ending)
+
+    asyncio.run(play())
+
+
+ODD_TIMES: tuple[object, ...] = (0.0, -1.0, "odd", None, [])
+
+
+@pytest.mark.parametrize("changed", [
+    {"limits": {"sockets": 0}}, {"limits": {"sockets": -5}}, {"limits": {}}, {"seed": "odd"},
+    {"settings": {**WIRE, "Services": []}}, {"settings": {**WIRE, "Services": [{"Name": "a", "Aim": -1.0}]}},
+    {"settings": {**WIRE, "Services": [{"Name": "a", "Aim": 1.0}]}},
+    {"settings": {**WIRE, "Services": [*WIRE["Services"], WIRE["Services"][0]]}},
+    *({"settings": {**WIRE, "Bounds": {"ConnIdle": odd}}} for odd in ODD_TIMES),
+    *({"settings": {**WIRE, "Bounds": {"DialTimeout": odd}}} for odd in ODD_TIMES),
+])
+def test_an_impossible_value_ends_with_one_plain_line(tmp_path: Path, changed: dict[str, object]) -> None:
+    env = environment(tmp_path / "c.json", f"{HOST}:1", f"{HOST}:9", [entry("a", f"{HOST}:9")], **changed)
+    done = subprocess.run([sys.executable, "-m", "lugspur"], cwd=ROOT, env=env, timeout=WIDE,
+                          capture_output=True, text=True, check=False)
+    assert (done.returncode, done.stdout) == (2, "")
+    [line] = done.stderr.splitlines()
+    assert line.startswith("lugspur: ")
+
+
+def test_unknown_keys_of_the_settings_change_nothing(tmp_path: Path) -> None:
+    odd = {"Odd": {"a": [1]}, **WIRE, "Bounds": {**WIRE["Bounds"], "Odd": 1},
+           "Rules": {**WIRE["Rules"], "Odd": 1}, "Services": [{**row, "Odd": None} for row in WIRE["Services"]]}
+    env = environment(tmp_path / "c.json", f"{HOST}:1", f"{HOST}:9", [entry("a", f"{HOST}:9")], settings=odd,
+                      odd=True)
+    plain = environment(tmp_path / "d.json", f"{HOST}:1", f"{HOST}:9", [entry("a", f"{HOST}:9")])
+    assert load(env) == load(plain)
+
+
 ODD_LIST = {
     "name": "n0", "listen": f"{HOST}:0", "discovery": f"{HOST}:9", "seed": "1", "limits": {"sockets": 64},
     "known": {"index": 1, "endpoints": [{"name": "a"}]}, "settings": WIRE,
