--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -333,7 +333,8 @@
 
 def test_unknown_keys_of_the_settings_change_nothing(tmp_path: Path) -> None:
     odd = {"Odd": {"a": [1]}, **WIRE, "Bounds": {**WIRE["Bounds"], "Odd": 1},
-           "Rules": {**WIRE["Rules"], "Odd": 1}, "Services": [{**row, "Odd": None} for row in WIRE["Services"]]}
+           "Rules": {**WIRE["Rules"], "Odd": 1},
+           "Services": [{**row, "Odd": None} for row in WIRE["Services"]]}
     env = environment(tmp_path / "c.json", f"{HOST}:1", f"{HOST}:9", [entry("a", f"{HOST}:9")], settings=odd,
                       odd=True)
     plain = environment(tmp_path / "d.json", f"{HOST}:1", f"{HOST}:9", [entry("a", f"{HOST}:9")])
