The end waits for operators' calls that wait for their file; tests of what crosses at the ends

Cause, by reading: the process ended once its callers were gone, and an operators' call whose file was still being written was cut off without an answer, though its order was kept. The end now gives such calls half a second.

Tests of crossings that were right already, as guards: SIGTERM before the list, twice, and with a SIGHUP whose file is gone, empty, cut or malformed (one line, nothing lost); drain, return, their timer and the end in all 64 orders of up to four; a restarted process that is ready while discovery answers nobody.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -84,6 +84,8 @@
     else:
         proxy.make_room()
         await hand_over(front)
+    if config.admin is not None:
+        await proxy.admin.finish()
     if keeper is not None:
         await keeper.close()
 
--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -16,6 +16,7 @@
 ADMIN_SOCKETS = 16  # callers at a time, of the spare descriptors: the next one takes the oldest one's place
 CALL_WITHIN = 2.0  # seconds for a whole call: silent callers stay for 4 if they may
 CALL_MOST = 8 << 10  # bytes of a call's body: an id is far shorter
+FINISH = 0.5  # seconds at the end for calls that are being answered: a file's disk may stand still so long
 WAITING = 64  # callers that may wait to be accepted
 
 
@@ -48,6 +49,13 @@
         """Stop listening; calls that are being answered go on."""
         self._server.close()
 
+    async def finish(self) -> None:
+        """Stop listening, and let the calls that are being answered have their answers, within FINISH."""
+        self.close()
+        tasks = [call.task for call in self.calls if call.task is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=FINISH)
+
 
 class _Call(asyncio.Protocol):
     """One connection and the one call on it."""
@@ -60,6 +68,7 @@
         self._body = b""
         self._expects = False
         self._answered = False
+        self.task: asyncio.Task[None] | None = None  # answers it, once it has come whole
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -122,7 +131,7 @@
             self._answer(405, b"another method is needed\n", b"Allow: %b\r\n" % route.method)
         else:
             self._timer.cancel()  # the rest of the time is not the caller's
-            self._task = self._loop.create_task(self._serve(route))
+            self.task = self._loop.create_task(self._serve(route))
 
     async def _serve(self, route: Route) -> None:
         try:
--- /dev/null
+++ b/tests/test_ends.py
@@ -0,0 +1,201 @@
+"""Signals, operators' calls and timers that cross as a proxy starts, drains, comes back and ends."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import signal
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    backend,
+    book,
+    config,
+    connect,
+    entry,
+    environment,
+    free_port,
+    running,
+    soon,
+    status,
+    until,
+    watches,
+)
+
+from lugspur.__main__ import end
+from lugspur.orders import OrderBook, Orders
+from lugspur.proxy import Proxy
+from lugspur.server import Front
+
+ROOT = Path(__file__).parent.parent
+EVACUATE = b"POST /api/evacuate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+PROBE = b"GET /healthz HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+async def process(env: dict[str, str]) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "lugspur", cwd=ROOT, env=env, stderr=asyncio.subprocess.PIPE
+    )
+
+
+async def answers(port: int, expected: int) -> None:
+    """Wait until the process answers a probe like this."""
+    got = 0
+    async with asyncio.timeout(WIDE):
+        while got != expected:
+            try:
+                got = status(await (await connect(port)).ask(PROBE))
+            except OSError:
+                await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("says", [b"", b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"])
+def test_a_restarted_process_is_ready_while_discovery_answers_nobody(says: bytes, tmp_path: Path) -> None:
+    """It serves by the list that it was started with."""
+    async def play() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(says)
+
+        registry = await asyncio.start_server(serve, HOST, 0)
+        async with backend(lambda _: OK) as one:
+            port, address = free_port(), f"{HOST}:{registry.sockets[0].getsockname()[1]}"
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", address, [entry("a", one.address)])
+            proxy = await process(env)
+            await answers(port, 200)
+            assert status(await (await connect(port)).ask(book(1))) == 200
+            proxy.send_signal(signal.SIGTERM)
+            assert await soon(proxy.wait()) == 0
+        registry.close()
+
+    asyncio.run(play())
+
+
+def test_the_end_comes_before_the_list(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with watches() as registry:
+            port = free_port()
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}", [])
+            proxy = await process(env)
+            await answers(port, 503)
+            proxy.send_signal(signal.SIGTERM)
+            assert await soon(proxy.wait()) == 0
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("text", [None, "", '{"discovery": "127.0.0', '{"discovery": 5}', "[]"])
+def test_a_reload_that_fails_while_the_process_ends_twice_loses_nothing(
+    text: str | None, tmp_path: Path
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one:
+            port, path = free_port(), tmp_path / "c.json"
+            env = environment(path, f"{HOST}:{port}", f"{HOST}:9", [entry("a", one.address)])
+            proxy = await process(env)
+            assert proxy.stderr is not None
+            await answers(port, 200)
+            client = await connect(port)
+            client.writer.write(book(1, timeout="15"))
+            await soon(one.got.get())
+            proxy.send_signal(signal.SIGTERM)
+            if text is None:
+                path.unlink()
+            else:
+                path.write_text(text)
+            proxy.send_signal(signal.SIGHUP)
+            assert (await soon(proxy.stderr.readline())).startswith(b"lugspur: ")
+            proxy.send_signal(signal.SIGTERM)
+            one.open[0].write(OK)
+            assert status(await client.answer()) == 200
+            assert await soon(proxy.wait()) == 0
+            assert await soon(proxy.stderr.read()) == b"", "more than one line"
+
+    asyncio.run(play())
+
+
+def test_an_operators_call_that_waits_for_its_file_is_answered_as_the_process_ends(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    let = threading.Event()
+    change = OrderBook.change
+
+    def slow(self: OrderBook, *args: object) -> Orders:
+        let.wait()
+        return change(self, *args)  # type: ignore[arg-type]
+
+    monkeypatch.setattr(OrderBook, "change", slow)
+    monkeypatch.setattr("lugspur.admin.FINISH", 1000.0)
+
+    async def play() -> None:
+        async with running([]) as up:
+            sock = await up.proxy.admin.listen((HOST, 0))
+            operator = await connect(sock.getsockname()[1])
+            silent = await connect(sock.getsockname()[1])
+            operator.writer.write(EVACUATE)
+            await until(lambda: any(call.task is not None for call in up.proxy.admin.calls))
+            ending = asyncio.create_task(up.proxy.admin.finish())
+            await asyncio.sleep(0)
+            assert not ending.done()
+            let.set()
+            await soon(ending)  # the silent one is not waited for
+            assert status(await operator.answer()) == 200
+            silent.writer.close()
+
+    asyncio.run(play())
+
+
+STEPS = ("evacuate", "rejoin", "timer", "end")
+
+
+def step(front: Front, what: str) -> None:
+    if what == "evacuate":
+        front.evacuate()
+    elif what == "rejoin":
+        front.rejoin()
+    elif what == "end":
+        end(front)
+        front.close()
+    elif front._letting_go is not None and not front._letting_go.cancelled():
+        front._letting_go._run()
+
+
+@pytest.mark.parametrize("order", [order for n in range(1, 5) for order in itertools.permutations(STEPS, n)])
+def test_drain_return_timer_and_end_in_any_order(order: tuple[str, ...]) -> None:
+    async def play() -> None:
+        front = Proxy(config([])).front
+        front.loaded.set()
+        front.serving = True
+        drained = False
+        for what in order:
+            step(front, what)
+            drained = what == "evacuate" or (drained and what != "rejoin")
+            ended = front.ending
+            assert front.drained is drained
+            assert front.closing is (drained or ended), "answers keep their connections, or do not"
+            assert front.healthy() is not (drained or ended)
+            timer = front._letting_go
+            assert drained or timer is None or timer.cancelled() or ended or "timer" in order
+        assert front.taking() is ("end" not in order)
+
+    asyncio.run(play())
+
+
+def test_a_drain_that_was_taken_back_lets_nobody_go_later() -> None:
+    async def play() -> None:
+        front = Proxy(config([])).front
+        front.evacuate()
+        first = front._letting_go
+        front.rejoin()
+        front.evacuate()
+        assert first is not None and first.cancelled() and front._letting_go is not first
+        front.rejoin()
+        assert front._letting_go is not None and front._letting_go.cancelled() and not front.closing
+
+    asyncio.run(play())
