--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -13,7 +13,9 @@
     assert not row.names("tests/test_a.py::test_one_more") and not row.names("tests/test_a.py")
 
 
-@pytest.mark.parametrize("text", [LINE * (MOST + 1), "tests/test_a.py::test_one", "a | b", "a | | 20", "a|b|c|d"])
+@pytest.mark.parametrize(
+    "text", [LINE * (MOST + 1), "tests/test_a.py::test_one", "a | b", "a | | 20", "a|b|c|d"]
+)
 def test_a_fourth_line_or_a_malformed_one_fails_the_run(text: str) -> None:
     assert len(parse(LINE * MOST)) == MOST
     with pytest.raises(ValueError, match=r"KNOWN-RED\.txt"):
