Admission: the smaller room where late answers earn nothing is one part for all classes

Cause: the part went by each class's own late worth, so that a dear class that is worth nothing late was refused before a cheap one that keeps its worth. Change: one part, by the late worth of all classes weighted by what they are worth. Two lines elsewhere make room for it and change no figure.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -71,9 +71,9 @@
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 PEERS_SETTLE = 5.0  # seconds for which the instances that live must be the same before slices follow them
 
-ROOM = 1.0  # the dearest class is taken while its expected latency is under this part of its aim...
-ROOM_LEAST = 0.8  # ...one worth nothing under this part...
-ROOM_SURE = 0.6  # ...and both this much sooner where nothing late is worth anything: waits spread
+ROOM_LEAST = 0.8  # a class worth nothing is taken while its expected latency is under this part of its aim...
+ROOM_WORTH = 0.2  # ...the dearest so much longer; where nothing late is worth anything...
+ROOM_SURE = 0.6  # ...all have this part of it: waits spread. By worth, so that the cheap still go first
 STARTS = 2.0  # times the slowest class's latency that a start lasts: most of its first requests are answered
 ROOM_LOST = 0.57  # ...each shrinks to this part of itself, at servers that lose what they are sent...
 ROOM_SLOPE = 8.0  # ...which it reaches where one request in so many fails
@@ -480,15 +480,17 @@
         self.copies: dict[int, tuple[RequestId, int]] = {}  # timer token: which attempt it watches
         self.token = SUBSCRIBE
         self.backoff = 1.0
-        dearest = max(c.worth for c in settings.classes) or 1.0
+        rows = settings.classes
+        dearest = max(c.worth for c in rows) or 1.0
         # Guards against refused clients that ask again at once and so keep up the overload that refused them.
         # Only the first tier has such clients: a server that calls asks no second time.
-        limits = settings.limits
-        self.come_back = limits.max_retry_after if limits.retry_after and not settings.tier else 0.0
+        obeyed = settings.limits.retry_after and not settings.tier
+        self.come_back = settings.limits.max_retry_after if obeyed else 0.0
         self.alone = ROOM_ALONE if settings.balancers <= settings.zones else 0.0
         self.class_latency = [0.0] * len(settings.classes)  # current latency of each class
-        self.room = [c.aim * (ROOM_LEAST + (ROOM - ROOM_LEAST) * c.worth / dearest) * min(
-            1.0, ROOM_SURE + (1.0 - ROOM_SURE) * c.late_worth / LATE_KEPT) for c in settings.classes]
+        late = sum(c.worth * c.late_worth for c in rows) / (sum(c.worth for c in rows) or 1.0)
+        sure = min(1.0, ROOM_SURE + (1.0 - ROOM_SURE) * late / LATE_KEPT)
+        self.room = [sure * c.aim * (ROOM_LEAST + ROOM_WORTH * c.worth / dearest) for c in rows]
         self.longest = max(c.aim for c in settings.classes)
         self.pace = 0.0  # baseline of latency for each unit of cost...
         self.paced = 0  # ...and the answers behind it
@@ -687,8 +689,7 @@
                 agreed.append((-len(times), number))
         most = int(place.max_ejected * sum(self._takes(s) for s in self.servers.values()))
         self.shunned = frozenset(number for _, number in sorted(agreed)[:most])
-        told = sum(view.zone_demand.values())
-        if told:
+        if told := sum(view.zone_demand.values()):
             self.zone_parts = {number: demand / told for number, demand in view.zone_demand.items()}
         side = view.members / max(1, view.known)
         for kind, limit in enumerate(self.limit):
@@ -831,12 +832,11 @@
         for pool in self.pools:
             present = [self._present(now, s) for s in pool.ready]
             total = sum(present)
-            mean = total / max(1, len(pool.ready))
             pool.most = max(total, total + (pool.most - total) * kept)
             pool.left = total / pool.most if pool.most else 1.0
             begins = now < pool.born + WORKING_EVERY
             rate = max(pool.rate.read(now), pool.before if begins else 0.0)
-            want = mean * (1.0 + WORKING_SPREAD * rate * self.pooled)
+            want = total / max(1, len(pool.ready)) * (1.0 + WORKING_SPREAD * rate * self.pooled)
             step = total / self.balancers  # only whole steps cover every server alike
             pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
             if begins and not pool.before:  # Guards the start: a load not yet seen is not a small one.
