--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -894,7 +894,8 @@
         if server.cold_seen <= 0.0:
             server.cold_credit = self.rng.random()  # instances must not all begin at the same moment
             server.cold_seen = now
-        server.cold_credit = min(1.0, server.cold_credit + pace * (now - server.cold_seen))
+        most = max(1.0, pace * rules.fall_after)
+        server.cold_credit = min(most, server.cold_credit + pace * (now - server.cold_seen))
         server.cold_seen = now
         return server.cold_credit < 1.0
 
