--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -6,8 +6,8 @@
 import json
 import os
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from pathlib import Path
 from typing import Any, TypeVar
 
@@ -246,6 +246,24 @@
         return int(sock.getsockname()[1])
 
 
+@contextmanager
+def held_dials() -> Iterator[tuple[asyncio.Event, asyncio.Event]]:
+    """Connections dialled from here on wait: the first event tells of one, the second lets them all go on."""
+    loop, asked, let = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+    dial = loop.create_connection
+
+    async def held(*args: Any, **named: Any) -> Any:
+        asked.set()
+        await let.wait()
+        return await dial(*args, **named)
+
+    loop.create_connection = held  # type: ignore[method-assign]
+    try:
+        yield asked, let
+    finally:
+        loop.create_connection = dial  # type: ignore[method-assign]
+
+
 async def connect(port: int) -> Client:
     """A new connection to this port."""
     return Client(*await asyncio.open_connection(HOST, port))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,6 +16,7 @@
     book,
     config,
     entry,
+    held_dials,
     read,
     running,
     soon,
@@ -80,24 +81,15 @@
         settings = dataclasses.replace(config([]).settings, limits=Limits(cancel=cancel))
         async with backend(lambda _: OK) as one:
             async with running([entry("a", one.address)], settings=settings) as up:
-                client, loop = await up.client(), asyncio.get_running_loop()
+                client = await up.client()
                 await until(lambda: bool(up.proxy.front.callers))
-                asked, let = asyncio.Event(), asyncio.Event()
-                dial = loop.create_connection
-
-                async def held(*args: Any, **named: Any) -> Any:
-                    asked.set()
-                    await let.wait()
-                    return await dial(*args, **named)
-
-                loop.create_connection = held  # type: ignore[method-assign]
-                client.writer.write(book())
-                await soon(asked.wait())
-                client.writer.close()
-                await until(lambda: not up.proxy.front.callers)
-                let.set()
-                await until(lambda: not up.proxy._calls)
-                loop.create_connection = dial  # type: ignore[method-assign]
+                with held_dials() as (asked, let):
+                    client.writer.write(book())
+                    await soon(asked.wait())
+                    client.writer.close()
+                    await until(lambda: not up.proxy.front.callers)
+                    let.set()
+                    await until(lambda: not up.proxy._calls)
                 # What comes after shows that nothing went out before it.
                 assert status(await (await up.client()).ask(book(2))) == 200
                 assert b"id2" in one.got.get_nowait() and one.got.empty()
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -11,7 +11,22 @@
 from typing import Any
 
 import pytest
-from loopback import HOST, OK, WIDE, Client, Running, backend, book, entry, read, running, soon, status, until
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    Client,
+    Running,
+    backend,
+    book,
+    entry,
+    held_dials,
+    read,
+    running,
+    soon,
+    status,
+    until,
+)
 
 from jaspershelf.model import Outcome
 from lugspur import upstream
@@ -192,27 +207,20 @@
 def test_nothing_goes_out_after_the_world_has_moved_on_under_a_dial(what: str) -> None:
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
-            loop, let = asyncio.get_running_loop(), asyncio.Event()
             client = await up.client()
             await until(lambda: bool(up.proxy.front.callers))
-            connect = loop.create_connection
-
-            async def held(*args: Any, **named: Any) -> Any:
-                await let.wait()
-                return await connect(*args, **named)
-
-            loop.create_connection = held  # type: ignore[method-assign]
-            client.writer.write(read(2))
-            await until(lambda: bool(up.proxy._calls))
-            [call] = up.proxy._calls.values()
-            if what == "left":
-                client.writer.close()
-                await until(lambda: call.caller is None)
-            else:
-                changed = {"since_ms": 5} if what == "started anew" else {"status": "terminating"}
-                up.tell([entry("a", one.address) | changed])
-            let.set()
-            await until(lambda: not call.exchanges[0].open)
+            with held_dials() as (asked, let):
+                client.writer.write(read(2))
+                await soon(asked.wait())
+                [call] = up.proxy._calls.values()
+                if what == "left":
+                    client.writer.close()
+                    await until(lambda: call.caller is None)
+                else:
+                    changed = {"since_ms": 5} if what == "started anew" else {"status": "terminating"}
+                    up.tell([entry("a", one.address) | changed])
+                let.set()
+                await until(lambda: not call.exchanges[0].open)
             if what != "left":
                 assert await one.request(await one.accept()) == b"", "it was written to"
                 assert status(await client.answer()) == 503
@@ -278,26 +286,18 @@
 
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
-            client, loop = await up.client(), asyncio.get_running_loop()
+            client = await up.client()
             await until(lambda: bool(up.proxy.front.callers))
-            asked, let = asyncio.Event(), asyncio.Event()
-            connect = loop.create_connection
-
-            async def held(*args: Any, **named: Any) -> Any:
-                asked.set()
-                if dial:
-                    await let.wait()
-                return await connect(*args, **named)
-
-            loop.create_connection = held  # type: ignore[method-assign]
-            client.writer.write(book(1))
-            await soon(asked.wait())
-            if not dial:
-                await one.request(await one.accept())
-            [call] = up.proxy._calls.values()
-            for what in order:
-                happens(what, up, call.exchanges[0], one.address)
-            let.set()
+            with held_dials() as (asked, let):
+                client.writer.write(book(1))
+                await soon(asked.wait())
+                if not dial:
+                    let.set()
+                    await one.request(await one.accept())
+                [call] = up.proxy._calls.values()
+                for what in order:
+                    happens(what, up, call.exchanges[0], one.address)
+                let.set()
             await until(lambda: not up.proxy._calls and up.proxy._upstream._dialling == 0)
             if "draining" in order or "leaves" in order or not dial:
                 assert len(call.exchanges) == 1, "sent again"
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 import pytest
-from loopback import HOST, WIDE, config, entry, running, soon, until, watches
+from loopback import HOST, WIDE, config, entry, held_dials, running, soon, until, watches
 
 from jaspershelf.model import Discovery as Mode
 from jaspershelf.model import ListKind
@@ -215,27 +215,22 @@
     asyncio.run(play())
 
 
-def test_a_dial_that_never_comes_up_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_dial_that_never_comes_up_is_given_up() -> None:
     async def play() -> None:
         async with registry(GOOD) as stub:
-            loop, cancelled = asyncio.get_running_loop(), asyncio.Event()
-            dial = loop.create_connection
-
-            async def held(*_: Any) -> Any:
-                try:
-                    await asyncio.sleep(10 * WIDE)
-                finally:
-                    cancelled.set()
-
-            loop.create_connection = held  # type: ignore[method-assign, assignment]
-            async with following(stub.port) as up:
+            up = Followed(stub.port)
+            with held_dials() as (asked, _):
+                up.watch.open()
                 assert up.waits == [DIAL_MOST]
-                await asyncio.sleep(0)
-                up.due()
-                await soon(cancelled.wait())
-                loop.create_connection = dial  # type: ignore[method-assign]
+                await soon(asked.wait())
+                assert up.watch._watch is not None
+                dial = up.watch._watch._dial
+                assert dial is not None
                 up.due()
-                assert await soon(up.told.get()) == 2
+                await until(dial.cancelled)
+            up.due()
+            assert await soon(up.told.get()) == 2
+            up.close()
 
     asyncio.run(play())
 
