Upstream: a stray answer is told only of a slow backend, and two in a row are the most

Cause, by reading the change before: a backend whose answers vary by more than two, or that has become quicker, would have had its own quick answers taken for stray ones, for ever where all of its connections are busy. Change: nothing is told of a backend that has ever answered within 10 ms, and after two doubts in a row the third answer is believed and remembered. Tests: both, by an injected clock; the test of lingering connections holds its clock too.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -20,7 +20,8 @@
 STUCK = 30.0  # ...or for which its caller makes no room: a slow one may empty a full socket in 20
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
 STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
-STRAY_PART = 0.5  # ...and be told from a next request's own by coming in under this part of the quickest time
+STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
+STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
 READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
@@ -42,7 +43,7 @@
 class Backend:
     """One backend of the list and the idle connections to it, the most recently used last."""
 
-    __slots__ = ("address", "idle", "in_service", "quickest", "started")
+    __slots__ = ("address", "doubts", "idle", "in_service", "quickest", "started")
 
     def __init__(self, address: Address) -> None:
         self.address = address
@@ -50,6 +51,7 @@
         self.in_service = False
         self.idle: list[Connection] = []
         self.quickest = math.inf  # seconds from a request's writing to the head of its answer, at the least
+        self.doubts = 0  # answers in a row that were taken for stray ones
 
     def process(self) -> tuple[Address, float]:
         """Which process the list names now: where it listens, and when it started."""
@@ -333,12 +335,16 @@
         """Whether this is rather a second answer to the request before, some milliseconds late.
 
         Guards the next request, if it was written in between: it would be served with another's answer. To
-        rest connections for so long instead was tried: under load it costs far more (docs/ROADMAP.md).
+        rest connections for so long instead was tried: under load it costs far more (docs/ROADMAP.md). Of a
+        backend that has ever answered as quickly as that nothing can be told.
         """
         now, backend = self._upstream.now(), self.backend
         took = now - self._sent
-        if now - self._answered < STRAY_WITHIN and took < STRAY_PART * backend.quickest < math.inf:
+        knows = STRAY_WITHIN <= backend.quickest < math.inf and backend.doubts < STRAYS_MOST
+        if knows and now - self._answered < STRAY_WITHIN and took < STRAY_PART * backend.quickest:
+            backend.doubts += 1
             return True
+        backend.doubts = 0
         backend.quickest = min(backend.quickest, took)
         return False
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 from loopback import (
     HOST,
     OK,
+    WIDE,
     Client,
     backend,
     book,
@@ -253,6 +254,7 @@
         assert len(self._front.callers) <= self._front.most + LINGERERS
 
     monkeypatch.setattr(Caller, "connection_made", counted)
+    monkeypatch.setattr("lugspur.server.LINGER", WIDE)  # none ends by itself meanwhile
 
     async def play() -> None:
         async with running([], sockets=48 + 8) as up:  # 4 callers
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -32,7 +32,8 @@
 from lugspur import upstream
 from lugspur.proxy import Call, Proxy
 from lugspur.server import Caller, Facts, Request
-from lugspur.upstream import Exchange
+from lugspur.upstream import Backend as Known
+from lugspur.upstream import Connection, Exchange, Upstream
 
 PARTIAL = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"  # no length: only an end without a reset ends it
 WRONG = OK.replace(b"done", b"evil")
@@ -182,6 +183,28 @@
     asyncio.run(play())
 
 
+def test_a_backend_that_has_become_quicker_is_believed() -> None:
+    async def play() -> None:
+        pool, known, clock = Upstream(1, 60.0, WIDE), Known((HOST, 1)), [100.0]
+        connection = Connection(pool, known)
+        pool.now = lambda: clock[0]  # type: ignore[method-assign]
+
+        def stray(took: float, gap: float = 0.001) -> bool:
+            connection._answered = clock[0]
+            connection._sent = clock[0] + gap
+            clock[0] += gap + took
+            return connection._is_stray()
+
+        assert not stray(0.001), "nothing is known of this backend yet"
+        known.quickest = 0.05
+        assert stray(0.001) and not stray(0.06, 1.0), "an ordinary answer in between"
+        assert [stray(0.001) for _ in range(upstream.STRAYS_MOST + 1)] == [True, True, False]
+        assert known.quickest == pytest.approx(0.001) and known.doubts == 0
+        assert not stray(0.0001), "of a backend as quick as that nothing can be told"
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("within", [0.0, WIDE])
 def test_answers_that_are_as_quick_as_ever_are_the_requests_own(
     within: float, monkeypatch: pytest.MonkeyPatch
