--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -11,13 +11,29 @@
 from typing import Any
 
 import pytest
-from loopback import HOST, OK, WIDE, Client, Running, backend, book, entry, read, running, soon, status, until
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    Client,
+    Running,
+    backend,
+    book,
+    entry,
+    held_dials,
+    read,
+    running,
+    soon,
+    status,
+    until,
+)
 
 from jaspershelf.model import Outcome
 from lugspur import upstream
 from lugspur.proxy import Call, Proxy
 from lugspur.server import Caller, Facts, Request
-from lugspur.upstream import Exchange
+from lugspur.upstream import Backend as Known
+from lugspur.upstream import Connection, Exchange, Upstream
 
 PARTIAL = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"  # no length: only an end without a reset ends it
 WRONG = OK.replace(b"done", b"evil")
@@ -167,6 +183,28 @@
     asyncio.run(play())
 
 
+def test_a_backend_that_has_become_quicker_is_believed() -> None:
+    async def play() -> None:
+        pool, known, clock = Upstream(1, 60.0, WIDE), Known((HOST, 1)), [100.0]
+        connection = Connection(pool, known)
+        pool.now = lambda: clock[0]  # type: ignore[method-assign]
+
+        def stray(took: float, gap: float = 0.001) -> bool:
+            connection._answered = clock[0]
+            connection._sent = clock[0] + gap
+            clock[0] += gap + took
+            return connection._is_stray()
+
+        assert not stray(0.001), "nothing is known of this backend yet"
+        known.quickest = 0.05
+        assert stray(0.001) and not stray(0.06, 1.0), "an ordinary answer in between"
+        assert [stray(0.001) for _ in range(upstream.STRAYS_MOST + 1)] == [True, True, False]
+        assert known.quickest == pytest.approx(0.001) and known.doubts == 0
+        assert not stray(0.0001), "of a backend as quick as that nothing can be told"
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("within", [0.0, WIDE])
 def test_answers_that_are_as_quick_as_ever_are_the_requests_own(
     within: float, monkeypatch: pytest.MonkeyPatch
@@ -192,27 +230,20 @@
 def test_nothing_goes_out_after_the_world_has_moved_on_under_a_dial(what: str) -> None:
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
-            loop, let = asyncio.get_running_loop(), asyncio.Event()
             client = await up.client()
             await until(lambda: bool(up.proxy.front.callers))
-            connect = loop.create_connection
-
-            async def held(*args: Any, **named: Any) -> Any:
-                await let.wait()
-                return await connect(*args, **named)
-
-            loop.create_connection = held  # type: ignore[method-assign]
-            client.writer.write(read(2))
-            await until(lambda: bool(up.proxy._calls))
-            [call] = up.proxy._calls.values()
-            if what == "left":
-                client.writer.close()
-                await until(lambda: call.caller is None)
-            else:
-                changed = {"since_ms": 5} if what == "started anew" else {"status": "terminating"}
-                up.tell([entry("a", one.address) | changed])
-            let.set()
-            await until(lambda: not call.exchanges[0].open)
+            with held_dials() as (asked, let):
+                client.writer.write(read(2))
+                await soon(asked.wait())
+                [call] = up.proxy._calls.values()
+                if what == "left":
+                    client.writer.close()
+                    await until(lambda: call.caller is None)
+                else:
+                    changed = {"since_ms": 5} if what == "started anew" else {"status": "terminating"}
+                    up.tell([entry("a", one.address) | changed])
+                let.set()
+                await until(lambda: not call.exchanges[0].open)
             if what != "left":
                 assert await one.request(await one.accept()) == b"", "it was written to"
                 assert status(await client.answer()) == 503
@@ -278,26 +309,18 @@
 
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
-            client, loop = await up.client(), asyncio.get_running_loop()
+            client = await up.client()
             await until(lambda: bool(up.proxy.front.callers))
-            asked, let = asyncio.Event(), asyncio.Event()
-            connect = loop.create_connection
-
-            async def held(*args: Any, **named: Any) -> Any:
-                asked.set()
-                if dial:
-                    await let.wait()
-                return await connect(*args, **named)
-
-            loop.create_connection = held  # type: ignore[method-assign]
-            client.writer.write(book(1))
-            await soon(asked.wait())
-            if not dial:
-                await one.request(await one.accept())
-            [call] = up.proxy._calls.values()
-            for what in order:
-                happens(what, up, call.exchanges[0], one.address)
-            let.set()
+            with held_dials() as (asked, let):
+                client.writer.write(book(1))
+                await soon(asked.wait())
+                if not dial:
+                    let.set()
+                    await one.request(await one.accept())
+                [call] = up.proxy._calls.values()
+                for what in order:
+                    happens(what, up, call.exchanges[0], one.address)
+                let.set()
             await until(lambda: not up.proxy._calls and up.proxy._upstream._dialling == 0)
             if "draining" in order or "leaves" in order or not dial:
                 assert len(call.exchanges) == 1, "sent again"
