Callers: a close that crosses the client's reset ends that connection alone

Cause, by reading the lingering close once more: to shut down sending on a socket that its client has reset, the loop not having read that yet, raises; in a drain that would have ended the process. Change: such a connection is ended at once. Test: a reset that lies unread as an idle connection is closed at the end, over the limit, and by an answer; the first two fail without the change with ENOTCONN.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -318,7 +318,11 @@
         self._take_no_more()
         self._queue.clear()
         self._transport.resume_reading()
-        self._transport.write_eof()
+        try:
+            self._transport.write_eof()
+        except OSError:  # the caller has reset it, and the loop has not read that yet
+            self.abort()
+            return
         self._unsent, self._ticks = -1, 0
         self._linger()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import socket
+import struct
 from typing import Any
 
 import pytest
@@ -209,6 +210,43 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("why", ["end", "limit", "answer"])
+def test_a_close_that_crosses_a_reset_ends_the_connection_and_nothing_else(
+    why: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            sock, other = raw(up.port), await up.client()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            await until(lambda: len(up.proxy.front.callers) == 2)
+            first = next(iter(up.proxy.front.waiting))
+            answer = Caller.answer
+
+            def crossed(self: Caller, *args: Any) -> None:
+                sock.close()
+                answer(self, *args)
+
+            if why == "answer":
+                monkeypatch.setattr(Caller, "answer", crossed)
+                sock.sendall(book(1, Connection="close"))
+                await until(lambda: len(up.proxy.front.callers) == 1)
+                monkeypatch.setattr(Caller, "answer", answer)
+            else:
+                sock.close()  # its reset lies unread as the connection is closed
+                if why == "end":
+                    up.proxy.front.close()
+                else:
+                    first.close()
+            await until(lambda: first not in up.proxy.front.callers)
+            assert first not in up.proxy.front.lingering
+            if why != "end":
+                assert status(await other.ask(book(2))) == 200
+            other.writer.close()
+            await until(lambda: not up.proxy.front.callers)
+
+    asyncio.run(play())
+
+
 def test_a_request_half_read_as_the_process_ends_is_answered() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
