--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -111,6 +111,32 @@
     asyncio.run(play())
 
 
+def test_signals_that_come_again_during_a_hand_over_lose_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with backend(lambda _: None) as one:
+            with held() as sock:
+                port, fd, admin = sock.getsockname()[1], sock.fileno(), free_port()
+                path = tmp_path / "c.json"
+                env = environment(path, f"{HOST}:{port}", f"{HOST}:9", [entry("a", one.address)])
+                async with process(env, fd, admin) as old:
+                    await says(admin, 200)
+                    assert old.stderr is not None
+                    busy = await connect(port)
+                    busy.writer.write(book(1))
+                    await soon(one.got.get())
+                    old.send_signal(signal.SIGTERM)
+                    await says(admin, 503)
+                    path.write_text("{")
+                    old.send_signal(signal.SIGHUP)
+                    assert (await soon(old.stderr.readline())).startswith(b"lugspur: ")
+                    old.send_signal(signal.SIGTERM)
+                    one.open[0].write(OK)
+                    assert status(await busy.answer()) == 200
+                    assert await soon(old.wait()) == 0
+
+    asyncio.run(play())
+
+
 def test_a_process_takes_callers_only_with_its_list_loaded(tmp_path: Path) -> None:
     async def play() -> None:
         async with watches() as registry, backend(lambda _: OK) as one:
