Drains are taken from messages of which an entry is spoilt, and never undone by older ones

Root cause: `Discovery.line` took a message whole or not at all, and any index. One entry that it could not read (a `terminated` row with no address, an unknown status, a null) hid the drains beside it, and the next watch brought the same message, so none was learnt any more. The index moved on before the list was handed on, so an exception on the way lost the news for good.

`endpoint_table.py` keeps the index that each server's state was told with: an older message withdraws, and brings back only a process that has started since; after 30 s of lower indexes discovery has lost its state, and all is asked for anew. The index moves on last.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -3,31 +3,31 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import random
-import re
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass
-from typing import Any
+import time
+from collections.abc import Callable, Iterable
 
 import httptools
-import orjson
 
-from jaspershelf.model import ListKind, ServerRow, State
-from lugspur.config import Address, ConfigError, read_address
+from jaspershelf.model import ListKind
+from lugspur.config import Address
+from lugspur.endpoint_table import EndpointTable
+from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
 from lugspur.events import log
+from lugspur.message_framing import MessageFramer
 
-STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON; it holds no line end
-STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-LINE_MOST = 4 << 20  # bytes of one line, or of one list over several
+__all__ = ["Discovery", "Endpoint", "Reader", "server_id", "server_name", "worst_waits"]
 
 # What discovery has to tell counts as told 6 s after it could be reached, 4 s after SIGHUP, whatever failed
 # on the way. Seconds, jitter included; `worst_waits` adds them up.
 SILENT = 2.4  # without a whole message, after which a watch is dead: an empty one comes every 2 s
 DIAL_MOST = 0.6  # that the connection may take...
-CALL_MOST = 2.6  # ...and all until the first whole message: discovery serves calls in turn, and one may wait
+CALL_MOST = 2.6  # ...and all until the first whole message, after which another call is made beside this one
 BACKOFF_FIRST, BACKOFF_MOST = 0.15, 0.7  # before the next call, doubling; at least half of it is waited
 DOUBLINGS_MOST = 10  # of the back-off: far beyond its most, and far below what a float holds
+WAITING_MOST = 2  # unanswered calls that are kept beside the newest one...
+WAITING_SPAN = 30.0  # ...each for so many seconds: by then a queue would have moved
+QUEUED_LEAST = 0.3  # seconds from connecting to a refusal that tell of a queue, not of a service that is down
 
 
 def worst_waits() -> dict[str, float]:
@@ -43,88 +43,41 @@
     }
 
 
-@dataclass(slots=True, frozen=True)
-class Endpoint:
-    """One entry of the list: what the module sees of a backend, and where it listens."""
-
-    row: ServerRow
-    address: Address
-
-
-def server_id(name: str) -> int:
-    """The same whole number for a name at every proxy and after every restart."""
-    return int.from_bytes(name.encode(), "big")
-
-
-def server_name(server: int) -> str:
-    """The name behind `server_id`."""
-    return server.to_bytes((server.bit_length() + 7) // 8, "big").decode()
-
-
-def read_whole(value: Any) -> int:
-    """A whole number as discovery counts; anything else is malformed."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"{value!r} is not a whole number")
-    return value
-
-
-def read_figure(value: Any) -> float:
-    """A figure of 0 or more; anything else is malformed."""
-    if not isinstance(value, (int, float)) or isinstance(value, bool) or not 0.0 <= value < math.inf:
-        raise ValueError(f"{value!r} is not a figure of 0 or more")
-    return float(value)
-
-
-class Reader:
-    """Turns entries of discovery's form into endpoints; names become places in the settings' lists."""
-
-    def __init__(self, zones: Mapping[str, int], types: Mapping[str, int]) -> None:
-        self._zones, self._types = zones, types
-
-    def endpoint(self, entry: Mapping[str, Any]) -> Endpoint:
-        """One entry; a zone or type that the settings don't name is none of theirs (-1)."""
-        row = ServerRow(
-            server_id(entry["name"]),
-            STATES[entry["status"]],
-            self._zones.get(entry.get("zone", ""), -1),
-            read_whole(entry.get("group", 0)),
-            read_figure(entry.get("weight", 1.0)),
-            read_figure(entry.get("since_ms", 0)) / 1000.0,
-            self._types.get(entry.get("type", ""), -1),
-        )
-        return Endpoint(row, read_address(entry["address"]))
-
-    def endpoints(self, message: Mapping[str, Any]) -> list[Endpoint]:
-        """All entries of a message."""
-        return [self.endpoint(entry) for entry in message["endpoints"]]
-
-    def check(self, known: Mapping[str, Any]) -> None:
-        """Raise ConfigError where the list known at the start can't be read."""
-        try:
-            read_whole(known["index"])
-            self.endpoints(known)
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
-            raise ConfigError(f"the known list can't be read: {fault!r}") from fault
-
-
 class Discovery:
     """Keeps one watch open, whatever happens to it, and hands on what it tells.
 
     It is in one of five states: idle (never opened), dialling, calling (connected, nothing told yet),
     following, or backing off (`_watch` is None). `_due` is the one timer of the state: when the dial, the
-    call, the silence or the back-off is over. Every way out of the middle three is `_over`.
+    call, the silence or the back-off is over. Every way out of the middle three is `_over` or `_unanswered`.
+
+    Discovery serves calls in turn. Giving up a call that waits there, and calling again, would put this proxy
+    at the end of the queue behind its own abandoned call; where a whole fleet does so, the queue holds mostly
+    abandoned calls and most of the fleet is never answered. So a call that is not answered in time keeps its
+    place (`_waiting`), and another is made beside it in case its connection is dead. The first that is
+    answered is followed, and the others are closed. So is a watch at the former address after a reload: it
+    goes on telling until the new address has answered.
     """
 
     def __init__(
-        self, address: Address, reader: Reader, index: int, told: Callable[[ListKind, list[Endpoint]], None]
+        self, address: Address, reader: Reader, index: int, told: Callable[[ListKind, list[Endpoint]], None],
+        *, known: Iterable[Endpoint] = (), clock: Callable[[], float] = time.monotonic,
+        failed: Callable[[], None] = lambda: None,
     ) -> None:
+        """`known` is the list that `index` belongs to; `failed` is told of each call that brought nothing."""
         self._address = address
         self._reader = reader
         self.index = index  # of the list as it is told
         self._told = told
+        self._table = EndpointTable(known, index)
+        self._clock = clock
+        self._failed = failed
         self._watch: _Watch | None = None
+        self._waiting: list[_Watch] = []  # the longest first
         self._due: asyncio.TimerHandle | None = None
         self.failures = 0  # calls in a row that brought nothing
+        self.unreadable = 0  # entries that were not read, or only in part
+        self.heard_at: float | None = None  # when the last whole message came, by the clock
+        self._queued_last = False  # the call that failed last had waited for its turn
 
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
@@ -136,8 +89,14 @@
         if address == self._address:
             return
         self._address = address
-        if self._due is not None:
-            self.failures = 0
+        if self._due is None:
+            return
+        self.failures = 0
+        followed = next((watch for watch in self._open_watches() if watch.following), None)
+        if followed is not None and followed.address == address:  # moved back before the other one answered
+            self._follow(followed)
+        else:
+            self._drop(but=followed)
             self._call()
 
     def close(self) -> None:
@@ -147,19 +106,37 @@
             self._due.cancel()
             self._due = None
 
+    def may_answer(self) -> bool:
+        """Whether discovery has accepted a call that it still owes an answer, or has a queue of them."""
+        return self._queued_last or any(watch.unanswered() for watch in self._open_watches())
+
     def line(self, text: bytes) -> None:
-        """One message of the watch, whole; an empty one tells only that it lives."""
+        """One message, whole; an empty one tells only that the watch lives.
+
+        Raises where the message can't be taken up. The index moves on only once the list has been handed on:
+        the next watch resumes before what was not.
+        """
         kind, endpoints = ListKind.PATCH, list[Endpoint]()
+        index: int | None = self.index
         if text.strip():
-            message = orjson.loads(text)
-            # Guards the list: a message is taken whole or not at all, and the next watch resumes before it.
-            index, endpoints = read_whole(message["index"]), self._reader.endpoints(message)
-            self.index = index
-            kind = ListKind.WHOLE if message.get("snapshot") else ListKind.PATCH
-        self.failures = 0
-        if self._watch is not None:
-            self._wait(SILENT, self._over, self._watch)
+            message = self._reader.message(text)
+            self._count_unreadable(message)
+            kind, index = message.kind, message.index
+            endpoints = self._table.apply(self._clock(), message)
+            if index is None:
+                if endpoints:
+                    self._told(ListKind.PATCH, endpoints)
+                raise ValueError("the index is not a whole number")
         self._told(kind, endpoints)
+        assert index is not None
+        self.index = index
+        self.failures = 0
+        self.heard_at = self._clock()
+
+    def _count_unreadable(self, message: ListMessage) -> None:
+        if message.unreadable:
+            self.unreadable += message.unreadable
+            log.warning("discovery.unreadable", entries=message.unreadable, index=message.index)
 
     def _wait(self, seconds: float, then: Callable[..., None], *args: object) -> None:
         if self._due is not None:
@@ -168,44 +145,116 @@
 
     def _call(self) -> None:
         """Dial, and ask for the watch."""
-        self._drop()
-        self._watch = watch = _Watch(self, f"GET /v1/servers?follow=1&since={self.index} HTTP/1.1\r\n"
-                                           f"Host: {self._address[0]}\r\n\r\n".encode())
+        self._prune()
+        self._watch = watch = _Watch(self, self._address, self.index)
         self._wait(DIAL_MOST, self._over, watch)
         watch.dial(self._address)
 
+    def _prune(self) -> None:
+        """Let go of calls that have waited in vain; the oldest is the next in discovery's queue."""
+        for watch in tuple(self._waiting):
+            if watch.unanswered() and self._age(watch) > WAITING_SPAN:
+                self._let_go(watch)
+        unanswered = [watch for watch in self._waiting if watch.unanswered()]
+        for watch in unanswered[1:-1][:max(0, len(unanswered) - WAITING_MOST)]:
+            self._let_go(watch)
+
+    def _age(self, watch: _Watch) -> float:
+        """Seconds since its connection came up; 0 before."""
+        return 0.0 if watch.connected_at is None else self._clock() - watch.connected_at
+
+    def _open_watches(self) -> list[_Watch]:
+        return [watch for watch in (*self._waiting, self._watch) if watch is not None]
+
     def _connected(self, watch: _Watch) -> None:
+        watch.connected_at = self._clock()
         if watch is self._watch:
             self._wait(CALL_MOST - DIAL_MOST, self._over, watch)
 
+    def _unanswered(self, watch: _Watch) -> None:
+        """Leave a call where it waits, and make another beside it."""
+        if watch is self._watch:
+            self._watch = None
+            self._waiting.append(watch)
+            self._back_off()
+
+    def _message(self, watch: _Watch, text: bytes) -> None:
+        """A whole message of a watch, which is followed from now on."""
+        self.line(text)
+        if watch.address == self._address:  # else it is the former one, until the new one answers
+            self._follow(watch)
+        if self._table.has_lost_state(self._clock()):
+            self._start_over()
+
+    def _follow(self, watch: _Watch) -> None:
+        """Follow this watch, alone, until it falls silent or ends."""
+        watch.following = True
+        if watch is not self._watch or self._waiting:
+            self._drop(but=watch)
+            self._waiting.remove(watch)
+            self._watch = watch
+        self._queued_last = False
+        self._wait(SILENT, self._over, watch)
+
+    def _start_over(self) -> None:
+        """Discovery has lost its state: ask for all that it has now, and believe that."""
+        log.warning("discovery.restored", index=self.index)
+        self._table.restart(self.index)
+        self.index = 0
+        self._drop()
+        self._call()
+
     def _over(self, watch: _Watch) -> None:
         """This watch is no good any more; what an earlier one still has to say is no news."""
+        if watch not in self._open_watches():
+            return
+        self._queued_last = watch.unanswered() and self._age(watch) >= QUEUED_LEAST
         if watch is not self._watch:
+            self._let_go(watch)
             return
-        self._drop()
+        self._watch = None
+        watch.close()
+        self._back_off()
+
+    def _back_off(self) -> None:
         most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self.failures, DOUBLINGS_MOST))
         self.failures += 1
         self._wait(most * (0.5 + 0.5 * random.random()), self._call)
+        self._failed()
+
+    def _let_go(self, watch: _Watch) -> None:
+        self._waiting.remove(watch)
+        watch.close()
 
-    def _drop(self) -> None:
-        watch, self._watch = self._watch, None
-        if watch is not None:
-            watch.close()
+    def _drop(self, but: _Watch | None = None) -> None:
+        """Close all connections but this one, which waits from now on."""
+        watches = self._open_watches()
+        self._waiting, self._watch = [watch for watch in watches if watch is but], None
+        for watch in watches:
+            if watch is not but:
+                watch.close()
 
 
 class _Watch(asyncio.Protocol):
     """The connection of one watch: reports what it brings, and once that it is over."""
 
-    def __init__(self, discovery: Discovery, request: bytes) -> None:
+    def __init__(self, discovery: Discovery, address: Address, since: int) -> None:
+        self.address = address
+        self.connected_at: float | None = None  # by the discovery's clock
+        self.following = False  # it has told a message
         self._discovery = discovery
-        self._request = request
+        self._request = (
+            f"GET /v1/servers?follow=1&since={since} HTTP/1.1\r\nHost: {address[0]}\r\n\r\n".encode()
+        )
         self._parser = httptools.HttpResponseParser(self)
+        self._framer = MessageFramer()
         self._transport: asyncio.Transport | None = None
         self._dial: asyncio.Task[object] | None = None
         self._closed = False
-        self._begun = b""  # of a line
-        self._message: list[bytes] = []  # the lines of one that is not whole yet...
-        self._depth = self._size = 0  # ...how many brackets are open in it, and its bytes
+
+    def unanswered(self) -> bool:
+        """Whether discovery has accepted it and told nothing yet."""
+        return self.connected_at is not None and not self.following
 
     def dial(self, address: Address) -> None:
         """Connect, and ask."""
@@ -243,8 +292,8 @@
         try:
             self._parser.feed_data(data)
         except Exception as fault:  # Guards against a malformed list: the last one stays.
-            log.warning("discovery.fault", error=repr(fault.__context__ or fault))
             self._discovery._over(self)
+            log.warning("discovery.fault", error=repr(fault.__context__ or fault))
 
     # ---- the parser's calls ------------------------------------------------------------------
 
@@ -253,27 +302,15 @@
             self._discovery._over(self)
 
     def on_body(self, body: bytes) -> None:
-        *lines, self._begun = (self._begun + body).split(b"\n")
-        for text in lines:
-            self._line(text)
-        if self._size + len(self._begun) > LINE_MOST:  # Guards the memory limit: it may never end.
-            raise ValueError("a line is too long")
+        for text in self._framer.feed(body):
+            self._told(text)
 
     def on_message_complete(self) -> None:
-        if self._begun.strip():  # an answer that is no watch need not end its only line
-            self._line(self._begun)
+        text = self._framer.finish()  # an answer that is no watch need not end its only line
+        if text is not None:
+            self._told(text)
         self._discovery._over(self)
 
-    def _line(self, text: bytes) -> None:
-        """One line: a message is one, or several where it is indented."""
-        if self._closed:
-            return
-        self._message.append(text)
-        self._size += len(text)
-        plain = STRING.sub(b"", text)
-        self._depth += plain.count(b"{") + plain.count(b"[") - plain.count(b"}") - plain.count(b"]")
-        if self._depth <= 0:
-            text = b"\n".join(self._message)
-            self._message.clear()
-            self._depth = self._size = 0
-            self._discovery.line(text)
+    def _told(self, text: bytes) -> None:
+        if not self._closed:
+            self._discovery._message(self, text)
--- /dev/null
+++ b/lugspur/endpoint_table.py
@@ -0,0 +1,129 @@
+"""The list of endpoints as discovery has told it: which message may still change what of it.
+
+Messages may arrive that are older than what is known: from a replica that lags, from another address after
+a reload, from a discovery that was restored. An older message never puts a server back into use that a newer
+one has withdrawn, unless that server has started anew since. What withdraws a server is taken from any.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from jaspershelf.model import ListKind, State
+from lugspur.endpoints import Endpoint, ListMessage, PartialEntry
+
+RANK = {State.UP: 0, State.DRAINING: 1, State.GONE: 2}  # the higher, the less a server may be used
+GONE_MOST = 2_000  # removed servers that are remembered: names may be new at each replacement
+STATE_LOST_AFTER = 30.0  # seconds with older messages alone, after which discovery has lost its state
+
+
+@dataclass(slots=True)
+class _Known:
+    endpoint: Endpoint
+    version: int  # the index of the message that told its state
+
+    @property
+    def rank(self) -> int:
+        return RANK[self.endpoint.row.state]
+
+
+class EndpointTable:
+    """All servers that were ever told, the removed ones bounded in number."""
+
+    def __init__(self, endpoints: Iterable[Endpoint] = (), index: int = 0) -> None:
+        self._known = {endpoint.row.server: _Known(endpoint, index) for endpoint in endpoints}
+        self._highest = index
+        self._behind_since: float | None = None
+
+    def apply(self, now: float, message: ListMessage) -> list[Endpoint]:
+        """Take a message up; the endpoints that it leaves changed, or all that it lists where it is whole.
+
+        A message whose index can't be read withdraws servers and changes nothing else.
+        """
+        if message.index is None:
+            return self._withdraw(message)
+        self._follow(now, message.index)
+        told: dict[int, Endpoint] = {}
+        for entry in message.entries:
+            endpoint = self._resolve(entry, message.index)
+            if endpoint is not None:
+                server = endpoint.row.server
+                told[server] = _safer(told[server], endpoint) if server in told else endpoint
+        for endpoint in told.values():
+            self._set(endpoint, message.index)
+        if message.kind is ListKind.WHOLE:
+            self._remove_others(told, message.index)
+        self._forget_removed()
+        return list(told.values())
+
+    def has_lost_state(self, now: float) -> bool:
+        """Whether discovery has been behind what it told before for too long to be catching up."""
+        return self._behind_since is not None and now - self._behind_since >= STATE_LOST_AFTER
+
+    def restart(self, index: int) -> None:
+        """Take what discovery tells from this index on for the truth, whatever it told before."""
+        for known in self._known.values():
+            known.version = 0
+        self._highest, self._behind_since = index, None
+
+    def _follow(self, now: float, index: int) -> None:
+        if index >= self._highest:
+            self._highest, self._behind_since = index, None
+        elif self._behind_since is None:
+            self._behind_since = now
+
+    def _resolve(self, entry: Endpoint | PartialEntry, index: int) -> Endpoint | None:
+        """What an entry comes to, given what is known; None where it tells nothing of use."""
+        if isinstance(entry, PartialEntry):
+            known = self._known.get(entry.server)
+            return None if known is None else _withdrawn(known.endpoint, entry.state)
+        known = self._known.get(entry.row.server)
+        if known is None or index >= known.version or RANK[entry.row.state] >= known.rank:
+            return entry
+        return entry if entry.row.started > known.endpoint.row.started else known.endpoint
+
+    def _set(self, endpoint: Endpoint, index: int) -> None:
+        known = self._known.get(endpoint.row.server)
+        if known is None:
+            self._known[endpoint.row.server] = _Known(endpoint, index)
+        else:
+            # What is not in use keeps the newest index that said so.
+            known.version = index if known.endpoint.row.state is State.UP else max(known.version, index)
+            known.endpoint = endpoint
+
+    def _withdraw(self, message: ListMessage) -> list[Endpoint]:
+        found = []
+        for entry in message.entries:
+            row = entry if isinstance(entry, PartialEntry) else entry.row
+            known = self._known.get(row.server)
+            if known is not None and row.state is not None and RANK[row.state] > known.rank:
+                known.endpoint = _withdrawn(known.endpoint, row.state)
+                found.append(known.endpoint)
+        return found
+
+    def _remove_others(self, listed: dict[int, Endpoint], index: int) -> None:
+        for server, known in self._known.items():
+            if server not in listed and known.endpoint.row.state is not State.GONE:
+                self._set(_withdrawn(known.endpoint, State.GONE), index)
+
+    def _forget_removed(self) -> None:
+        if len(self._known) <= GONE_MOST:
+            return
+        removed = [n for n, known in self._known.items() if known.endpoint.row.state is State.GONE]
+        for server in removed[:max(0, len(removed) - GONE_MOST)]:
+            del self._known[server]
+
+
+def _withdrawn(endpoint: Endpoint, state: State | None) -> Endpoint:
+    """An endpoint that may be used no more than this state allows; never more than before."""
+    if state is None or RANK[state] <= RANK[endpoint.row.state]:
+        return endpoint
+    return Endpoint(replace(endpoint.row, state=state), endpoint.address)
+
+
+def _safer(one: Endpoint, other: Endpoint) -> Endpoint:
+    """Of two entries for one server in a message: the later process, else the one that is used less."""
+    if one.row.started != other.row.started:
+        return max(other, one, key=lambda endpoint: endpoint.row.started)
+    return max(other, one, key=lambda endpoint: RANK[endpoint.row.state])
