A call that waits in discovery's queue keeps its place: no retry storm of a whole fleet

Discovery serves calls in turn and can't know which were given up. Where all proxies lose their watch at once and 200 calls take over 2.6 s, a proxy gave up its call shortly before its turn and queued a new one at the end, behind the abandoned ones, which were still served. The queue held mostly abandoned calls for ever, and most proxies were never told anything again: they went on sending to servers that drained or were removed. A call limit of discovery's own that is longer than 2.6 s (3 s at one site) does the same, and so does a list that takes longer than that to arrive.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -169,7 +169,7 @@
     def _connected(self, watch: _Watch) -> None:
         watch.connected_at = self._clock()
         if watch is self._watch:
-            self._wait(CALL_MOST - DIAL_MOST, self._over, watch)
+            self._wait(CALL_MOST - DIAL_MOST, self._unanswered, watch)
 
     def _unanswered(self, watch: _Watch) -> None:
         """Leave a call where it waits, and make another beside it."""
