A new process waits for a list that discovery still owes it before it serves by its old one

Root cause: one second after its start a process served by the list in its configuration, whatever discovery did. Where discovery was up and only slow, as when most of a fleet restarts at once, it sent to servers that had been drained or removed while it did not run, from its first moment until its call was answered.

Change: a call that discovery has accepted and not answered, or one that was turned away after a wait in its queue, is waited for, 3.6 s after the start at the most: a process has to be ready within 6 s, as before. Where connections are refused or calls fail at once, the old list serves after 1 s, as before.

test_ends.py: the bound on the wait is asked of both waits; a new test shows both ways.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -44,7 +44,9 @@
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
 NOTICE_EVERY = 0.2  # seconds between looks for the other process's orders: a drain may take 1.5
-KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
+KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves...
+KNOWN_MOST = 3.6  # ...or so many where discovery has accepted the call and may still answer it
+KNOWN_LOOK_EVERY = 0.1  # seconds between looks at which of these it is
 
 
 class Call:
@@ -189,10 +191,11 @@
             self._zones = {place: name for name, place in config.zones.items()}
             self.admin.routes[b"/api/zones"] = Route(b"GET", self._answer_zones)
         reader = discovery.Reader(config.zones, config.types)
+        known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
-            config.discovery, reader, config.known["index"], self._told
+            config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time
         )
-        self._members(ListKind.STALE, reader.endpoints(config.known))
+        self._members(ListKind.STALE, known)
         self._orders.refresh()
         self._obey(self._orders.current)
         if config.listen_fd is not None:  # else there is no second process
@@ -205,8 +208,7 @@
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
         if config.known["endpoints"]:
-            # Guards against a discovery that is down at the start: an old list serves better than none.
-            self._loop.call_later(KNOWN_AFTER, self._loaded)
+            self._loop.call_later(KNOWN_AFTER, self._serve_by_known, self._loop.time() + KNOWN_MOST)
 
     def join(self, membership: Membership) -> None:
         """Show and obey for this process's membership among the proxies."""
@@ -338,6 +340,17 @@
     def _loaded(self) -> None:
         self.front.loaded.set()
 
+    def _serve_by_known(self, latest: float) -> None:
+        """Serve by the list known at the start, at the latest at this time of the loop.
+
+        Guards against sends to servers that were drained or removed while this process did not run: where
+        discovery is only slow, its list is waited for. Where it is down, an old list serves better than none.
+        """
+        if self._loop.time() < latest and self._discovery.may_answer():
+            self._loop.call_later(KNOWN_LOOK_EVERY, self._serve_by_known, latest)
+        else:
+            self._loaded()
+
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
         actions = self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints])
         listed = {endpoint.row.server for endpoint in endpoints}
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import signal
 import sys
@@ -30,10 +31,11 @@
     watches,
 )
 
+from jaspershelf.model import Discovery as Mode
 from lugspur.__main__ import end
 from lugspur.discovery import CALL_MOST
 from lugspur.orders import OrderBook, Orders
-from lugspur.proxy import Proxy
+from lugspur.proxy import KNOWN_MOST, Proxy
 from lugspur.server import Front
 
 ROOT = Path(__file__).parent.parent
@@ -75,7 +77,35 @@
 
         monkeypatch.setattr(loop, "call_later", noted)
         front = Proxy(config([entry("a", f"{HOST}:1")])).front
-        assert waits["_loaded"] + CALL_MOST < READY_WITHIN and not front.loaded.is_set()
+        assert max(waits["_serve_by_known"] + CALL_MOST, KNOWN_MOST) < READY_WITHIN
+        assert not front.loaded.is_set()
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("accepts", [True, False])
+def test_the_list_of_the_start_serves_at_once_only_where_discovery_is_down(
+    accepts: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A call that discovery has accepted is waited for: it may withdraw servers of the known list."""
+    async def play() -> None:
+        monkeypatch.setattr("lugspur.proxy.KNOWN_LOOK_EVERY", 0.001)
+        async with watches() as stub:
+            settings = dataclasses.replace(config([]).settings, discovery=Mode.PUSHED)
+            port = stub.port if accepts else free_port()
+            async with running([entry("a", f"{HOST}:1")], discovery=port, settings=settings) as up:
+                proxy, loaded, now = up.proxy, up.proxy.front.loaded, asyncio.get_running_loop().time()
+                if accepts:
+                    await soon(stub.asked.get())
+                    await until(proxy._discovery.may_answer)
+                else:
+                    await until(lambda: proxy._discovery.failures > 0)
+                    assert not proxy._discovery.may_answer()
+                proxy._serve_by_known(now + 1000.0)
+                assert loaded.is_set() == (not accepts)
+                if accepts:
+                    proxy._serve_by_known(now)
+                    assert loaded.is_set(), "it never serves"
 
     asyncio.run(play())
 
