A configuration that could not be read at SIGHUP is read again until it can

Where it was half written at that moment, or the system had no descriptor or failed the read, the signal was forgotten: the process stayed with the address that discovery had left, and was told nothing for the rest of its life.

A signal that is lost, or comes before its file, is made good: where a call to discovery fails and the file has changed since it was read, it is read.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -8,7 +8,8 @@
 import signal
 import socket
 import sys
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
+from pathlib import Path
 from typing import Any
 
 from lugspur.config import Config, ConfigError, load, load_discovery
@@ -16,6 +17,7 @@
 from lugspur.events import log
 from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
+from lugspur.reload import Reloader
 from lugspur.server import Front
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
@@ -45,7 +47,8 @@
             log.error("orders.fault", file=str(config.state_dir), error=str(fault.strerror))
 
     proxy = Proxy(config, orders, keeper)
-    loop.add_signal_handler(signal.SIGHUP, reload, proxy)
+    reloader = reloader_for(proxy, os.environ)
+    loop.add_signal_handler(signal.SIGHUP, reloader.request)
     front = proxy.front
     if config.admin is not None:
         await proxy.admin.listen(config.admin)
@@ -98,12 +101,12 @@
         task.cancel()
 
 
-def reload(proxy: Proxy) -> None:
-    """Take up the replaced configuration file; one that can't be read changes nothing."""
-    try:
-        proxy.reload(load_discovery(os.environ))
-    except ConfigError as fault:
-        complain(fault)
+def reloader_for(proxy: Proxy, environ: Mapping[str, str]) -> Reloader:
+    """What follows discovery's address in the configuration file that this environment names."""
+    path = environ.get("RELAY_CONFIG")
+    reloader = Reloader(Path(path) if path else None, lambda: load_discovery(environ), proxy.reload, complain)
+    proxy.call_failed = reloader.check
+    return reloader
 
 
 async def hand_over(front: Front) -> None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -159,6 +159,7 @@
         self._epoch = time.time() - self._loop.time()
         self._balancer = Balancer(config.settings, config.seed)
         self._backends: dict[int, upstream.Backend] = {}
+        self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
         self._count = 0
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
@@ -193,7 +194,8 @@
         reader = discovery.Reader(config.zones, config.types)
         known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
-            config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time
+            config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
+            failed=lambda: self.call_failed(),
         )
         self._members(ListKind.STALE, known)
         self._orders.refresh()
