The first call for the list comes within 0.8 s of a start, so that one may fail in time

Root cause of a late drain where the list is asked for: the first call was spread over 0.4 x AskEvery, 4 s and more after the start. A first call that failed then ended the time that the settings allow, and the next one came after the 6 s in which a change counts as told.

Change: the spread is 0.8 s at the most; the second call is answered within the 6 s.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -58,6 +58,7 @@
 LATE_KEPT = 0.5  # classes whose late answers keep more of their worth are waited for
 
 DRAWS = 8  # random draws for two candidates, at most
+FIRST_ASK_MOST = 0.8  # seconds over which instances that start together spread their first call for the list
 EXTRA_FREE = 5.0  # further attempts in any span where no retry budget is stated...
 EXTRA_SHARE = 0.2  # ...and for each request taken in it: more would feed an overload...
 EXTRA_SPAN = 10.0  # ...over so many seconds
@@ -507,8 +508,10 @@
         """Call once, after the first list was given."""
         if self.settings.discovery is not Discovery.ON_REQUEST:
             return []
-        # All instances start together: spread the first calls over what the rules allow unasked.
-        return self._ask_in(now, 0.4 * self.settings.rules.ask_within * self.rng.random())
+        # All instances start together: spread the first calls over what the rules allow unasked. But the list
+        # may be old, and a first call that fails must leave time for the next ones.
+        spread = min(0.4 * self.settings.rules.ask_within, FIRST_ASK_MOST)
+        return self._ask_in(now, spread * self.rng.random())
 
     def _ask_in(self, now: float, delay: float) -> list[Action]:
         if self.asking:
--- a/tests/test_discovery_overload.py
+++ b/tests/test_discovery_overload.py
@@ -16,10 +16,12 @@
 
 import pytest
 from loopback import HOST, entry
-from test_watch import EMPTY_EVERY, HEAD, FakeTransport, chunk
+from test_watch import EMPTY_EVERY, HEAD, TOLD_AFTER, FakeTransport, chunk
 
-from jaspershelf.model import ListKind
-from lugspur.discovery import CALL_MOST, SILENT, Discovery, Endpoint, Reader, _Watch
+from jaspershelf.decide import Balancer
+from jaspershelf.model import Discovery as Mode
+from jaspershelf.model import ListKind, Rules, ServerRow, Settings, Timer
+from lugspur.discovery import BACKOFF_FIRST, CALL_MOST, SILENT, Discovery, Endpoint, Reader, _Watch
 
 CHANGE = {"index": 9, "snapshot": False, "endpoints": [entry("a", f"{HOST}:1")]}
 NEWS = HEAD + chunk(json.dumps(CHANGE).encode() + b"\n")
@@ -252,3 +254,24 @@
     due = watch._due
     calls[0].connection_lost(None)
     assert watch._watch is calls[1] and watch._due is due and watch._waiting == [] and watch.failures == 0
+
+
+@pytest.mark.parametrize("ask_within", [0.5, 10.0, 60.0])
+def test_where_the_list_is_asked_for_the_first_call_leaves_time_for_two_more(ask_within: float) -> None:
+    """It is spread over the instances, but one that fails late, and the next, have to be in time.
+
+    The list known at the start may be old, and the time that the settings allow for asking ends with the
+    first call that fails.
+    """
+    settings = Settings(discovery=Mode.ON_REQUEST, rules=Rules(ask_within=ask_within))
+    delays = []
+    for seed in range(200):
+        balancer = Balancer(settings, seed)
+        balancer.members(100.0, ListKind.STALE, [ServerRow(1)])
+        [timer] = balancer.start(100.0)
+        assert isinstance(timer, Timer)
+        delays.append(timer.at - 100.0)
+    assert max(delays) <= 0.4 * ask_within
+    answered = 2.0  # seconds from the next call to its answer
+    assert max(delays) + CALL_MOST + BACKOFF_FIRST + answered < TOLD_AFTER
+    assert max(delays) - min(delays) > 0.5 * min(0.4 * ask_within, 0.8), "they call together"
