A list with odd figures is applied whole: drains hold whatever the arithmetic runs into

Cause: the module rebuilt its slices in the same pass as the list. A row without sound figures could be applied, and a memory that can't be restored hid the rows behind it.

Change: rows are made usable before anything is applied (sizes are bounded, a server in use without sound figures is not used); the lists of ready servers, and with them the old slices, change before anything that reckons; the three divisions by 0 are gone.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -105,6 +105,8 @@
 REST, REST_MOST = 1.0, 8.0  # ...so many seconds, doubling
 OVERDUE = 3.0  # times its class's current latency that an attempt is out before a second copy is sent
 
+SIZE_LEAST, SIZE_MOST = 1e-6, 1e6  # what stated sizes are held to: sums and quotients of them stay finite
+
 SUBSCRIBE = 1  # timer token; those above it are second copies that fall due
 
 
@@ -338,6 +340,22 @@
         return max(latency, age) * (len(out) + 1.0)
 
 
+def _is_figure(value: float) -> bool:
+    return isinstance(value, (int, float)) and 0.0 <= value < inf
+
+
+def _usable_row(row: ServerRow) -> ServerRow:
+    """The row as it can be reckoned with: sizes are bounded, and a server without sound figures is not used.
+
+    Guards the list: one row that no sum can be made of must neither hide the others nor keep its server used.
+    """
+    if _is_figure(row.size) and _is_figure(row.started):
+        size = min(max(row.size, SIZE_LEAST), SIZE_MOST) if row.size else row.size
+        return row if size == row.size else replace(row, size=size)
+    state = State.DRAINING if row.state is State.UP else row.state
+    return replace(row, state=state, size=1.0, started=0.0)
+
+
 class Attempt:
     """One send of a request."""
 
@@ -525,6 +543,7 @@
             return self._ask_in(now, delay)
         if kind is not ListKind.STALE:
             self.backoff = 1.0
+        rows = [_usable_row(row) for row in rows]
         if kind is not ListKind.PATCH:
             listed = {row.server for row in rows}
             for server in self.servers.values():
@@ -534,9 +553,7 @@
         for row in rows:
             known = self.servers.get(row.server)
             if known is None:
-                known = self.servers[row.server] = Server(row)
-                if row.server in self.memories:
-                    known.restore(self.memories.pop(row.server))
+                self.servers[row.server] = Server(row)
                 continue
             if row.started > known.row.started:
                 known.restart(row.started)
@@ -544,6 +561,11 @@
         self._arrange(now)
         return []
 
+    def _recall(self) -> None:
+        """Take up what an earlier process knew of servers that the list names only now."""
+        for number in [number for number in self.memories if number in self.servers]:
+            self.servers[number].restore(self.memories.pop(number))
+
     def restore(
         self, now: float, servers: Sequence[ServerMemory], tier: TierMemory | None
     ) -> list[Action]:
@@ -620,7 +642,16 @@
         return len(listed), len(avoided)
 
     def _arrange(self, now: float) -> None:
-        """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
+        """Rebuild the lists of ready servers and choose the slices anew.
+
+        Guards the drains: they hold once the ready are listed, whatever the rest may run into.
+        """
+        self._list_ready()
+        self._recall()
+        self._resize(now)
+
+    def _list_ready(self) -> None:
+        """Rebuild the lists of ready servers; drained and gone ones leave them, and the slices, at once."""
         # A ring in scattered order, the same at every instance.
         ready = [s for s in self.servers.values() if self._takes(s)]
         ready.sort(key=lambda s: (s.row.server * 0x9E3779B1 & 0xFFFFFFFF, s.row.server))
@@ -630,7 +661,7 @@
             for server in pool.ready:
                 pool.groups.setdefault((Group.ZONE, server.row.zone), []).append(server)
                 pool.groups.setdefault((Group.CELL, server.row.cell), []).append(server)
-        self._resize(now)
+            pool.working, pool.ends = [], []
 
     # ---- what instances share ----------------------------------------------------------------
 
@@ -816,7 +847,7 @@
         wide = min(1.0, ROOM_SLOPE * pool.losses.failed_part(now))
         return {
             n: ((1.0 - wide) * self.zones[n].share / share / size + wide / total * (n not in self.avoided))
-            * sum(able.values()) for n, size in able.items()
+            * sum(able.values()) if size else 1.0 for n, size in able.items()
         }
 
     def _resize(self, now: float) -> None:
@@ -840,7 +871,7 @@
             rate = max(pool.rate.read(now), pool.before if begins else 0.0)
             want = total / max(1, len(pool.ready)) * (1.0 + WORKING_SPREAD * rate * self.pooled)
             step = total / self.balancers  # only whole steps cover every server alike
-            pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
+            pool.width = min(total, step * max(1, round(want / step))) if step else 0.0
             if begins and not pool.before:  # Guards the start: a load not yet seen is not a small one.
                 pool.width = total
             pool.begin = step * self.me
@@ -867,8 +898,8 @@
         pool.warm_part = 1.0 - len(cold) / len(until) if until else 1.0
 
     def _cold_until(self, server: Server) -> float:
-        started = server.started
-        return started + self.settings.rules.cold_for if started > 0.0 else 0.0
+        started, cold_for = server.started, self.settings.rules.cold_for
+        return started + cold_for if started > 0.0 and cold_for > 0.0 else 0.0
 
     def _present(self, now: float, server: Server) -> float:
         """The size that a server has at least now: a cold one begins at a part of it."""
