A message of discovery takes its drains out of service first, whatever fails behind that

Cause: the proxy followed the module. Where the module raised before it held a row, or half way through a message, its word on the rows behind was the old one, and their backends stayed in service for good; where one connection could not be closed, the backends behind it in the message did, and the one it was closed for too: it was taken out of service only after that.

Change: what drains or is left out is out of service before anything else is done; a backend's own row counts beside the module's word; a fault with one backend is logged (list.fault) and leaves the others to be followed.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor, ThreadPoolExecutor
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
@@ -24,6 +24,7 @@
     Repeat,
     Send,
     ServerMemory,
+    State,
     Subscribe,
     TierMemory,
     Timer,
@@ -339,21 +340,41 @@
         self.front.loaded.set()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
+        """Apply a message of discovery: first what takes backends out of service, then all else.
+
+        Guards the drains: whatever fails behind the first step, no backend stays in service that is told to
+        drain or is left out.
+        """
+        told = {endpoint.row.server: endpoint for endpoint in endpoints}
+        self._take_out(kind, told)
         actions = self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints])
-        listed = {endpoint.row.server for endpoint in endpoints}
-        if kind is not ListKind.PATCH:
-            for server, backend in self._backends.items():
-                if server not in listed:
-                    self._upstream.update(backend, backend.address, backend.started, False)
-        for endpoint in endpoints:
-            row = endpoint.row
-            backend = self._backends.setdefault(row.server, upstream.Backend(endpoint.address))
-            self._upstream.update(
-                backend, endpoint.address, row.started, self._balancer.takes(row.server)
-            )
+        for server in list(told if kind is ListKind.PATCH else {**self._backends, **told}):
+            try:
+                self._follow_list(server, told.get(server))
+            except Exception:
+                log.error("list.fault", member=discovery.server_name(server), exc_info=True)
         self._perform(actions)
         self._rank()
 
+    def _take_out(self, kind: ListKind, told: Mapping[int, discovery.Endpoint]) -> None:
+        for server, backend in self._backends.items():
+            endpoint = told.get(server)
+            gone = endpoint is None and kind is not ListKind.PATCH
+            if gone or (endpoint is not None and endpoint.row.state is not State.UP):
+                backend.in_service = False
+
+    def _follow_list(self, server: int, endpoint: discovery.Endpoint | None) -> None:
+        """Where a backend is, and whether it is in service, as the list now says; None: it is left out."""
+        if endpoint is None:
+            backend = self._backends[server]
+            self._upstream.update(backend, backend.address, backend.started, False)
+            return
+        row = endpoint.row
+        backend = self._backends.setdefault(server, upstream.Backend(endpoint.address))
+        # Guards against a module that could not apply the message and still holds the row before it.
+        takes = row.state is State.UP and self._balancer.takes(server)
+        self._upstream.update(backend, endpoint.address, row.started, takes)
+
     def _rank(self) -> None:
         """Affinity ranks the servers that are in use."""
         if self._affinity is not None:
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -435,11 +435,12 @@
 
     def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a backend now."""
+        moved = backend.address != address or backend.started != started
+        backend.address, backend.started, backend.in_service = address, started, in_service
         # Guards against requests on connections to a process or a place that is no more.
-        if backend.address != address or backend.started != started or not in_service:
+        if moved or not in_service:
             for connection in tuple(backend.idle):
                 self._drop(connection)
-        backend.address, backend.started, backend.in_service = address, started, in_service
 
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
--- /dev/null
+++ b/tests/test_list_faults.py
@@ -0,0 +1,89 @@
+"""Faults in the program while it applies a list or carries out actions: no drain is missed for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from loopback import OK, Running, backend, entry, read, running, status
+
+from jaspershelf.decide import Balancer
+from jaspershelf.model import ListKind
+from lugspur.discovery import Reader
+from lugspur.upstream import Connection
+
+READER = Reader({"here": 0, "there": 1}, {"k": 0})
+
+
+class Odd(Exception):
+    """What is raised here."""
+
+
+def raises(*_: object) -> Any:
+    raise Odd
+
+
+def tell(up: Running, kind: ListKind, entries: list[dict[str, Any]]) -> None:
+    up.proxy._told(kind, READER.endpoints({"endpoints": entries}))
+
+
+def half_way(monkeypatch: pytest.MonkeyPatch, up: Running) -> None:
+    """The module fails after it has taken up some of a message's rows."""
+    members = up.proxy._balancer.members
+
+    def fails(now: float, kind: ListKind, rows: list[Any]) -> Any:
+        members(now, ListKind.PATCH, rows[:1])
+        raise Odd
+
+    monkeypatch.setattr(up.proxy._balancer, "members", fails)
+
+
+def at_once(monkeypatch: pytest.MonkeyPatch, up: Running) -> None:
+    """The module fails before it has taken up anything."""
+    monkeypatch.setattr(up.proxy._balancer, "members", raises)
+
+
+def slices(monkeypatch: pytest.MonkeyPatch, up: Running) -> None:
+    """The module has the rows, and can't choose its slices."""
+    monkeypatch.setattr(Balancer, "_resize", raises)
+
+
+def closing(monkeypatch: pytest.MonkeyPatch, up: Running) -> None:
+    """A connection can't be closed."""
+    monkeypatch.setattr(Connection, "abandon", raises)
+
+
+FAULTS = [half_way, at_once, slices, closing]
+
+
+@pytest.mark.parametrize("kind", [ListKind.PATCH, ListKind.WHOLE])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_message_takes_all_its_drains_out_of_service_whatever_fails(
+    fault: Callable[[pytest.MonkeyPatch, Running], None], kind: ListKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Of three servers with idle connections two drain, or are left out; the other one takes all requests."""
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, backend(lambda _: OK) as three:
+            stubs = {"a": one, "b": two, "c": three}
+            entries = {name: entry(name, stub.address) for name, stub in stubs.items()}
+            async with running(list(entries.values())) as up:
+                client = await up.client()
+                for number in range(40):
+                    assert status(await client.ask(read(number))) == 200
+                assert all(backend.idle for backend in up.proxy._backends.values())
+                for stub in stubs.values():
+                    stub.got = asyncio.Queue()
+                with monkeypatch.context() as patch:
+                    fault(patch, up)
+                    drains = [entries[name] | {"status": "terminating"} for name in ("a", "b")]
+                    if kind is ListKind.WHOLE:
+                        drains = drains[:1]
+                    tell(up, kind, [*drains, entries["c"]])
+                for number in range(40):
+                    await client.ask(read(100 + number))
+                assert one.got.empty() and two.got.empty(), "a server that drains was sent a request"
+                assert not three.got.empty()
+
+    asyncio.run(play())
