An action that fails drops neither those behind it nor its own request

Cause: the proxy carried out the module's actions in one loop: an exception in one (a connection whose socket the system could not poll, an attempt that could not be started) left all behind it undone, and the module waited for an outcome that never came. Their requests were answered by their deadline alone.

Change: each action is carried out for itself, and logged where it fails (action.fault); an attempt that can't be started ends at once, as one that never ran if nothing was written; a socket that can't be polled is not taken for quiet. Measured: four tests of tests/test_list_faults.py time out on the text before, and pass.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -501,12 +501,18 @@
 
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, Timer):
-                self._loop.call_at(action.at - self._epoch, self._timer, action.token)
-            elif isinstance(action, Subscribe):
-                self._discovery.open()
-            else:
-                self._act(action)
+            try:
+                self._carry_out(action)
+            except Exception:  # Guards the actions behind it, and the requests that they are about.
+                log.error("action.fault", reason=type(action).__name__, exc_info=True)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Timer):
+            self._loop.call_at(action.at - self._epoch, self._timer, action.token)
+        elif isinstance(action, Subscribe):
+            self._discovery.open()
+        else:
+            self._act(action)
 
     def _timer(self, token: int) -> None:
         self._perform(self._decide(self._balancer.timer, token))
@@ -533,7 +539,11 @@
             call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
         call.exchanges.append(exchange)
-        self._upstream.start(exchange)
+        try:
+            self._upstream.start(exchange)
+        except Exception:
+            exchange.broke()  # Guards the request: the module waits for how this attempt ends.
+            raise
 
     def pass_on(
         self, call: Call, exchange: upstream.Exchange, response: upstream.Response
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -274,9 +274,13 @@
     def quiet(self) -> bool:
         """Whether nothing has come on it that the loop has not read yet: its end, or what nobody asked for.
 
-        Guards what is written to it next: that would be lost, or answered with something else.
+        Guards what is written to it next: that would be lost, or answered with something else. Where the
+        system can't tell, it is not taken for quiet.
         """
-        return not self._poll.poll(0)
+        try:
+            return not self._poll.poll(0)
+        except OSError:
+            return False
 
     def abandon(self) -> None:
         """Close at once, unsent bytes dropped."""
--- a/tests/test_list_faults.py
+++ b/tests/test_list_faults.py
@@ -3,16 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable
 from typing import Any
 
 import pytest
-from loopback import OK, Running, backend, entry, read, running, status
+from loopback import OK, Running, backend, book, entry, read, running, status
 
 from jaspershelf.decide import Balancer
-from jaspershelf.model import ListKind
+from jaspershelf.model import Action, Cancel, ListKind
 from lugspur.discovery import Reader
-from lugspur.upstream import Connection
+from lugspur.upstream import Connection, Exchange
 
 READER = Reader({"here": 0, "there": 1}, {"k": 0})
 
@@ -87,3 +88,61 @@
                 assert not three.got.empty()
 
     asyncio.run(play())
+
+
+class Unpolled:
+    """A socket's state that the system can't tell."""
+
+    def poll(self, _: float) -> list[Any]:
+        raise OSError(errno.ENOMEM, "no memory")
+
+
+def test_a_connection_that_can_not_be_polled_is_not_used_again() -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(read(1))) == 200
+            [connection] = up.proxy._upstream._idle
+            connection._poll = Unpolled()  # type: ignore[assignment]
+            assert status(await client.ask(read(2))) == 200
+            [fresh] = up.proxy._upstream._idle
+            assert fresh is not connection
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("ask", [read, book])
+def test_an_attempt_that_can_not_be_started_never_ran(
+    ask: Callable[..., bytes], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The module is told so, and the request goes to the other server."""
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as other:
+            async with running([entry("a", one.address), entry("b", other.address)]) as up:
+                client = await up.client()
+                start = up.proxy._upstream.start
+
+                def fails_once(exchange: Exchange) -> None:
+                    monkeypatch.setattr(up.proxy._upstream, "start", start)
+                    raise Odd
+
+                monkeypatch.setattr(up.proxy._upstream, "start", fails_once)
+                assert status(await client.ask(ask(1))) == 200
+                assert not up.proxy._calls and not up.proxy._balancer.requests
+
+    asyncio.run(play())
+
+
+def test_an_action_that_fails_does_not_drop_those_behind_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            request = up.proxy._balancer.request
+
+            def more(now: float, rid: str, *rest: Any) -> list[Action]:
+                return [Cancel(rid, 7), *request(now, rid, *rest)]
+
+            monkeypatch.setattr(up.proxy._balancer, "request", more)
+            assert status(await client.ask(read(1))) == 200
+
+    asyncio.run(play())
