--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -45,7 +45,9 @@
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
 NOTICE_EVERY = 0.2  # seconds between looks for the other process's orders: a drain may take 1.5
-KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves
+KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves...
+KNOWN_MOST = 3.6  # ...or so many where discovery has accepted the call and may still answer it
+KNOWN_LOOK_EVERY = 0.1  # seconds between looks at which of these it is
 
 
 class Call:
@@ -158,6 +160,7 @@
         self._epoch = time.time() - self._loop.time()
         self._balancer = Balancer(config.settings, config.seed)
         self._backends: dict[int, upstream.Backend] = {}
+        self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
         self._count = 0
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
@@ -190,10 +193,12 @@
             self._zones = {place: name for name, place in config.zones.items()}
             self.admin.routes[b"/api/zones"] = Route(b"GET", self._answer_zones)
         reader = discovery.Reader(config.zones, config.types)
+        known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
-            config.discovery, reader, config.known["index"], self._told
+            config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
+            failed=lambda: self.call_failed(),
         )
-        self._members(ListKind.STALE, reader.endpoints(config.known))
+        self._members(ListKind.STALE, known)
         self._orders.refresh()
         self._obey(self._orders.current)
         if config.listen_fd is not None:  # else there is no second process
@@ -206,8 +211,7 @@
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
         if config.known["endpoints"]:
-            # Guards against a discovery that is down at the start: an old list serves better than none.
-            self._loop.call_later(KNOWN_AFTER, self._loaded)
+            self._loop.call_later(KNOWN_AFTER, self._serve_by_known, self._loop.time() + KNOWN_MOST)
 
     def join(self, membership: Membership) -> None:
         """Show and obey for this process's membership among the proxies."""
@@ -339,6 +343,17 @@
     def _loaded(self) -> None:
         self.front.loaded.set()
 
+    def _serve_by_known(self, latest: float) -> None:
+        """Serve by the list known at the start, at the latest at this time of the loop.
+
+        Guards against sends to servers that were drained or removed while this process did not run: where
+        discovery is only slow, its list is waited for. Where it is down, an old list serves better than none.
+        """
+        if self._loop.time() < latest and self._discovery.may_answer():
+            self._loop.call_later(KNOWN_LOOK_EVERY, self._serve_by_known, latest)
+        else:
+            self._loaded()
+
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
         """Apply a message of discovery: first what takes backends out of service, then all else.
 
