--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -110,6 +110,14 @@
         """Whether discovery has accepted a call that it still owes an answer, or has a queue of them."""
         return self._queued_last or any(watch.unanswered() for watch in self._open_watches())
 
+    def figures(self) -> list[str]:
+        """Lines of the telemetry: how old the list is, and what stands in the way of a newer one."""
+        age = -1 if self.heard_at is None else round(1000.0 * (self._clock() - self.heard_at))
+        return [
+            f"discovery.index={self.index}", f"discovery.age_ms={age}",
+            f"discovery.failures={self.failures}", f"discovery.unreadable={self.unreadable}",
+        ]
+
     def line(self, text: bytes) -> None:
         """One message, whole; an empty one tells only that the watch lives.
 
--- a/tests/test_list_messages.py
+++ b/tests/test_list_messages.py
@@ -177,3 +177,19 @@
     with pytest.raises(ValueError, match="whole number"):
         told.line("x", {**ENTRY, "status": "terminating"}, {**ENTRY, "name": "t"}, {**ENTRY, "name": "u"})
     assert told.states == {"s": State.DRAINING} and told.watch.index == 5
+
+
+def test_the_figures_tell_how_old_the_list_is() -> None:
+    now = 100.0
+    watch = Discovery(
+        ("127.0.0.1", 1), Reader({"a": 0}, {"m": 0}), 5, lambda kind, endpoints: None, clock=lambda: now
+    )
+    assert watch.figures()[:2] == ["discovery.index=5", "discovery.age_ms=-1"]
+    watch.line(b"")
+    now += 2.5
+    watch.line(orjson.dumps({"index": 6, "snapshot": False, "endpoints": [{**ENTRY, "weight": "x"}]}))
+    now += 1.25
+    watch.failures = 3
+    assert watch.figures() == [
+        "discovery.index=6", "discovery.age_ms=1250", "discovery.failures=3", "discovery.unreadable=1"
+    ]
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -21,13 +21,15 @@
 
 
 async def figures(port: int) -> dict[str, int]:
-    """All figures by name."""
+    """All figures by name, but for those of the list, which have their test in test_list_messages.py."""
     answer = await say(port, "/api/telemetry", method="GET")
     assert status(answer) == 200
     lines = answer.partition(b"\r\n\r\n")[2].decode().splitlines()
     found = {name: int(value) for name, _, value in (line.partition("=") for line in lines)}
     assert len(found) == len(lines), "a name comes twice"
-    return found
+    of_the_list = {name for name in found if name.startswith("discovery.")}
+    assert of_the_list == {f"discovery.{name}" for name in ("index", "age_ms", "failures", "unreadable")}
+    return {name: value for name, value in found.items() if name not in of_the_list}
 
 
 def expected(**changed: int) -> dict[str, int]:
