--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -187,6 +187,8 @@
                 assert status(await say(port, "/api/ready", method="GET")) == 200
                 assert await soon(idle.reader.read()) == b"", "an idle caller is held"
                 half.writer.write(book(2)[-1:])
+                # On a connection of its own: on the other one it could be taken for a late second answer.
+                await soon(one.got.get())
                 one.open[0].write(OK)
                 for client in (half, busy):
                     answer = await client.answer()
