Attempts wait for news of the list that lies unread in the watch's socket

Cause: the loop takes up what has come in the order in which it came, and runs what was called soon before what it has just read. After a stop of the process, or a long turn, an answer that makes a request go elsewhere, a timer or a dial that has come up was acted on before the drain that lay unread beside it, told long ago by then: the first byte went to a server that drains.

Change: before an attempt chooses its connection, and again after a dial, one system call asks whether bytes lie unread in discovery's connections (lugspur/unread.py). If so it waits for the loop's next look, 16 at the most, which bring the longest message there may be. A server that this news takes out is not dialled.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -15,6 +15,7 @@
 from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
 from lugspur.events import log
 from lugspur.message_framing import MessageFramer
+from lugspur.unread import Inbox
 
 __all__ = ["Discovery", "Endpoint", "Reader", "server_id", "server_name", "worst_waits"]
 
@@ -74,6 +75,7 @@
         self._watch: _Watch | None = None
         self._waiting: list[_Watch] = []  # the longest first
         self._due: asyncio.TimerHandle | None = None
+        self.inbox = Inbox()  # of the connections that are up
         self.failures = 0  # calls in a row that brought nothing
         self.unreadable = 0  # entries that were not read, or only in part
         self.heard_at: float | None = None  # when the last whole message came, by the clock
@@ -272,6 +274,7 @@
         if self._dial is not None:
             self._dial.cancel()
         if self._transport is not None:
+            self._discovery.inbox.discard(self._transport)
             self._transport.abort()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -280,10 +283,12 @@
         if self._closed:
             transport.abort()
         else:
+            self._discovery.inbox.add(transport)
             transport.write(self._request)
             self._discovery._connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._discovery.inbox.discard(self._transport)
         self._discovery._over(self)
 
     def data_received(self, data: bytes) -> None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -198,6 +198,7 @@
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
             failed=lambda: self.call_failed(),
         )
+        self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
         self._orders.refresh()
         self._obey(self._orders.current)
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -7,6 +7,7 @@
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from itertools import islice
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from jaspershelf.model import Outcome
 from lugspur.body import HELD_MOST, Body
 from lugspur.config import Address
+from lugspur.unread import Inbox
 
 STALLED = 8.0  # seconds after which a transfer is given up that a backend does not carry on...
 STUCK = 30.0  # ...or for which its caller makes no room: a slow one may empty a full socket in 20
@@ -22,6 +24,7 @@
 STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
 STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
 STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
+NEWS_READS_MOST = 16  # of the loop, that an attempt waits for: they bring the longest message there may be
 READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
@@ -423,6 +426,7 @@
         self._dialling = 0
         self._connected = 0
         self.dispatches = 0  # attempts whose last byte is out
+        self.news = Inbox()  # what the list may say next
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
@@ -449,6 +453,26 @@
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
         exchange.limit(exchange.until)
+        self._after_news(self._connect, exchange)
+
+    def _after_news(self, step: Callable[..., None], *args: object, reads: int = NEWS_READS_MOST) -> None:
+        """Take a step that acts on the list once the loop has read what lies there of the next one.
+
+        Guards the drains: after a stop of the process, or a long turn of the loop, a timer, an answer or a
+        dial may come up before the news that was there first. A timer that is due runs after the loop's next
+        look at its sockets; `call_soon` would run before what is read in it.
+        """
+        if reads and self.news.unread():
+            self._loop.call_later(0.0, partial(self._after_news, step, *args, reads=reads - 1))
+        else:
+            step(*args)
+
+    def _connect(self, exchange: Exchange) -> None:
+        if not exchange.open:
+            return
+        if not exchange.backend.in_service:  # by news that was waited for: a dial would be in vain
+            self._loop.call_soon(exchange.end, Outcome.VOID)
+            return
         connection = self._idle_connection(exchange)
         if connection is not None:
             self._transmit(exchange, connection)
@@ -491,7 +515,7 @@
         finally:
             self._dialling -= 1
         exchange.dial = None
-        self._transmit(exchange, connection)
+        self._after_news(self._transmit, exchange, connection)
 
     def _transmit(self, exchange: Exchange, connection: Connection) -> None:
         """Write the first byte, if the attempt still may go out."""
