A request of which the socket takes nothing is taken back, not left to the transport's buffer

Cause: the list was looked at before the write, but where the socket had no room for a single byte the whole request stayed in the transport's buffer, and its first byte went out whenever there was room: also long after the server was told to drain.

Change: a connection that takes nothing is closed at once, its buffer with it. Where it had been idle the request goes out on a new one; where it is new the attempt never ran. Once a first byte is out, the rest may take its time.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -216,20 +216,33 @@
 
     # ---- the request ----------------------------------------------------------------------------
 
-    def send(self, exchange: Exchange, head: bytes) -> None:
-        """Write a request: at once where its body is there, else as it comes."""
-        self.exchange = exchange
-        exchange.connection = self
-        self.written = self._last = False
+    def send(self, exchange: Exchange, head: bytes) -> bool:
+        """Write a request: at once where its body is there, else as it comes.
+
+        False if the socket took none of it: the connection is closed then, and nothing was sent. Guards the
+        drains: what is left in the transport's buffer would go out whenever there is room, whatever the list
+        says by then. Once its first byte is out a request may take its time.
+        """
+        self.written = False
         self._sent = self._upstream.now()
         body = exchange.body.held()
+        self._last = body is not None
+        request = head + body if body is not None else head
+        self._transport.write(request)
+        if self._transport.get_write_buffer_size() >= len(request):
+            self.abandon()
+            return False
+        self.exchange = exchange
+        exchange.connection = self
         if body is None:
-            self._transport.write(head)
             exchange.body.attach(self)
-            return
-        self._last = True
-        self._transport.write(head + body)
-        self._look_out()
+        else:
+            self._look_out()
+        return True
+
+    def is_fresh(self) -> bool:
+        """Whether it has never been idle."""
+        return self.idle_since == 0.0
 
     def write_body(self, data: bytes) -> None:
         """The next bytes of the body."""
@@ -531,7 +544,12 @@
             connection.abandon()
             exchange.end(Outcome.UNREACHABLE)
             return
-        connection.send(exchange, exchange.head(left))
+        if connection.send(exchange, exchange.head(left)):
+            return
+        if connection.is_fresh():
+            exchange.end(Outcome.UNREACHABLE)
+        else:
+            exchange.dial = self._loop.create_task(self._dial(exchange))
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next exchange."""
