A wall clock that was off at the start no longer takes cold servers for warm ones, or cold for an hour

Need: wall clocks may step by an hour. A server's start is told in wall time and was compared with this process's own relation of wall time to the loop's clock, made once as it starts: an hour ahead then, every server that started later counted as warm and got its full load at once (the rule on recovering servers); an hour behind, it stayed cold for an hour.

Change: `start_times.py` keeps the age of a start, as it is first told, between 0 and, for a change that a watch tells as it happens, 5 s. Where the clocks agree nothing changes, to the digit. What is left: a server that started just before this process, known to it by a list alone, can't be told from an old one.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -110,6 +110,10 @@
         """Whether discovery has accepted a call that it still owes an answer, or has a queue of them."""
         return self._queued_last or any(watch.unanswered() for watch in self._open_watches())
 
+    def is_live(self) -> bool:
+        """Whether a watch is followed that has told a message before this one: it tells news at once."""
+        return self._watch is not None and self._watch.following
+
     def figures(self) -> list[str]:
         """Lines of the telemetry: how old the list is, and what stands in the way of a newer one."""
         age = -1 if self.heard_at is None else round(1000.0 * (self._clock() - self.heard_at))
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -35,6 +35,7 @@
 from lugspur.events import log
 from lugspur.orders import OrderBook, Orders
 from lugspur.server import Caller, Facts, Front, Rejected, Request
+from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
 
 if TYPE_CHECKING:
@@ -160,6 +161,7 @@
         self._epoch = time.time() - self._loop.time()
         self._balancer = Balancer(config.settings, config.seed)
         self._backends: dict[int, upstream.Backend] = {}
+        self._start_times = StartTimes()
         self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
         self._count = 0
@@ -362,7 +364,9 @@
         """
         told = {endpoint.row.server: endpoint for endpoint in endpoints}
         self._take_out(kind, told)
-        actions = self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints])
+        now, live = self._now(), kind is ListKind.PATCH and self._discovery.is_live()
+        rows = [self._start_times.adjust(now, endpoint.row, live) for endpoint in endpoints]
+        actions = self._decide(self._balancer.members, kind, rows)
         for server in list(told if kind is ListKind.PATCH else {**self._backends, **told}):
             try:
                 self._follow_list(server, told.get(server))
