--- /dev/null
+++ b/tests/simulation/__init__.py
@@ -0,0 +1,25 @@
+"""A deterministic simulation: the real proxies on a driven clock, against a scripted discovery and servers.
+
+`clock` moves the time, `link` and `network` carry bytes in memory, `registry`, `servers` and `callers` are the
+other side, `process` runs one real proxy, `run` puts a seed's run together, and `faults` disturbs it. A run is a
+function of its seed and its faults alone. From the repository's root: `PYTHONPATH=tests python -m simulation`.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from simulation.faults import FAULTS, LEAVES, LONG
+from simulation.run import Plan, Verdict, simulate
+
+
+def play(seed: int, names: Sequence[str]) -> Verdict:
+    """Play this seed with these faults, one or two of `faults.FAULTS` and `faults.LONG`."""
+    def adjust(plan: Plan) -> None:
+        for name in names:
+            if len(names) > 1:
+                plan.most_delay = min(plan.most_delay, LEAVES.get(name, plan.most_delay))
+            if name in LONG:
+                plan.duration, plan.rate = 120.0, 5.0
+
+    return simulate(seed, names, [(FAULTS | LONG)[name] for name in names], adjust)
