--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -49,9 +49,11 @@
             more = f" and {len(labels) - SHOWN} more" if len(labels) > SHOWN else ""
             return ", ".join(labels[:SHOWN]) + more
 
-        cells = [f"`{self.name}`", self.seeds, self.attempts, len(self.broke_drain), self.drains,
-                 ", ".join(sorted(self.lines)), shown(self.broke_drain), self.others, shown(self.broke_other)]
-        return _line(cells)
+        lines = ", ".join(sorted(self.lines))
+        return _line([
+            f"`{self.name}`", self.seeds, self.attempts, len(self.broke_drain), self.drains, lines,
+            shown(self.broke_drain), self.others, shown(self.broke_other),
+        ])
 
 
 COLUMNS = ("fault", "seeds", "attempts", "seeds that break the rule", "late attempts", "told by", "which seeds",
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -1,8 +1,8 @@
 """The faults that a run can be disturbed by, each drawn from the run's seed.
 
 Through a fault of discovery it can still be reached where a caller that holds on would be told in time:
-`Plan.most_delay` bounds what one call may take, and a fault that costs time of its own lowers it for the other
-of its pair (`LEAVES`). Only `down`, `lost_state`, `half_open` and `sighup_dead` take discovery out of reach.
+`Plan.most_delay` bounds what one call may take, and a fault that costs time of its own lowers it for the
+other of its pair (`LEAVES`). Only `down`, `lost_state`, `half_open` and `sighup_dead` take discovery out of reach.
 """
 
 from __future__ import annotations
@@ -484,9 +484,10 @@
     for number, drain in enumerate(run.plan.drains):
         if drain.back_at is None:
             back = drain.at + rng.uniform(0.1, 2.0)
-            run.at(back, lambda name=drain.server, number=number: come_back(name, number))  # type: ignore[misc]
-            again = back + rng.uniform(0.2, 2.0)
-        run.at(again, lambda name=drain.server: drain_again(name))  # type: ignore[misc]
+            name = drain.server
+            run.at(back, lambda name=name, number=number: come_back(name, number))  # type: ignore[misc]
+                again = back + rng.uniform(0.2, 2.0)
+            run.at(again, lambda name=name: drain_again(name))  # type: ignore[misc]
 
 
 def short_writes(run: Run) -> None:
