--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -2,7 +2,8 @@
 
 Through a fault of discovery it can still be reached where a caller that holds on would be told in time:
 `Plan.most_delay` bounds what one call may take, and a fault that costs time of its own lowers it for the
-other of its pair (`LEAVES`). Only `down`, `lost_state`, `half_open` and `sighup_dead` take discovery out of reach.
+other of its pair (`LEAVES`). Only `down`, `lost_state`, `half_open` and `sighup_dead` take discovery out of
+reach.
 """
 
 from __future__ import annotations
@@ -486,7 +487,7 @@
             back = drain.at + rng.uniform(0.1, 2.0)
             name = drain.server
             run.at(back, lambda name=name, number=number: come_back(name, number))  # type: ignore[misc]
-                again = back + rng.uniform(0.2, 2.0)
+            again = back + rng.uniform(0.2, 2.0)
             run.at(again, lambda name=name: drain_again(name))  # type: ignore[misc]
 
 
@@ -502,8 +503,8 @@
     **{fault.__name__: fault for fault in (
         slow, crowded, unavailable, impatient, cut, unanswered, no_news, pieces, long_list, older, leaves_out,
         bad_rows, down, lost_state, half_open, silent, late_lists, broken_watches, dial_errors, sighup,
-        sighup_dead, half_file, restart, terminate, upgrade, evacuate, exclude, stopped, clock_step, late_dials,
-        bad_servers, short_writes, no_room, replaced,
+        sighup_dead, half_file, restart, terminate, upgrade, evacuate, exclude, stopped, clock_step,
+        late_dials, bad_servers, short_writes, no_room, replaced,
     )},
 }
 LONG: dict[str, Fault] = {"down_long": down_long}
--- a/tests/test_drain_simulation.py
+++ b/tests/test_drain_simulation.py
@@ -1,6 +1,7 @@
 """Faults drawn from seeds, on a driven clock: no attempt is late after a drain was told, and nothing is lost.
 
-A seed that fails is played again with `PYTHONPATH=tests python -m simulation --seeds SEED --fault NAME --verbose`.
+A seed that fails is played again with
+`PYTHONPATH=tests python -m simulation --seeds SEED --fault NAME --verbose`.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
     if verdict.sound():
         return ""
     return "\n".join([
-        f"--seeds {verdict.seed} --fault {'+'.join(verdict.faults)}: {len(verdict.drains)} attempts too late, "
+        f"--seeds {verdict.seed} --fault {'+'.join(verdict.faults)}: {len(verdict.drains)} attempts late, "
         f"{verdict.lost} requests lost, {verdict.duplicates} twice, never told: {verdict.starved[:5]}, "
         f"timers: {verdict.timers[:2]}, raised: {verdict.faults_raised[:2]}",
         *[f"  {violation}" for violation in verdict.drains[:3]],
