--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -44,22 +44,22 @@
         if verdict.others():
             self.broke_other.append(label)
 
-    def __str__(self) -> str:
-        def shown(labels: list[str]) -> str:
-            more = f" and {len(labels) - SHOWN} more" if len(labels) > SHOWN else ""
-            return ", ".join(labels[:SHOWN]) + more
-
-        lines = ", ".join(sorted(self.lines))
-        return _line([
-            f"`{self.name}`", self.seeds, self.attempts, len(self.broke_drain), self.drains, lines,
-            shown(self.broke_drain), self.others, shown(self.broke_other),
-        ])
+    def cells(self) -> list[object]:
+        """The row of the table: see `COLUMNS`."""
+        return [f"`{self.name}`", self.seeds, self.attempts, len(self.broke_drain), self.drains,
+                ", ".join(sorted(self.lines)), _shown(self.broke_drain), self.others,
+                _shown(self.broke_other)]
 
 
 COLUMNS = ("fault", "seeds", "attempts", "seeds that break the rule", "late attempts", "told by", "which seeds",
            "other breaks", "which seeds")
 
 
+def _shown(labels: list[str]) -> str:
+    more = f" and {len(labels) - SHOWN} more" if len(labels) > SHOWN else ""
+    return ", ".join(labels[:SHOWN]) + more
+
+
 def _line(cells: Iterable[object]) -> str:
     return f"| {' | '.join(str(cell) for cell in cells)} |"
 
@@ -105,7 +105,7 @@
     print(_line(COLUMNS))
     print(_line("---" for _ in COLUMNS))
     for row in rows.values():
-        print(row)
+        print(_line(row.cells()))
     return int(any(row.drains or row.others for row in rows.values()))
 
 
--- a/tests/simulation/process.py
+++ b/tests/simulation/process.py
@@ -7,6 +7,7 @@
 import dataclasses
 import errno
 import math
+import os
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, cast
@@ -81,6 +82,7 @@
 
     def _begin(self) -> None:
         self.proxy = Proxy(self._config, OrderBook(self._orders))
+        self._reloader = program.reloader_for(self.proxy, os.environ)
         front = self.proxy.front
         front._server = cast(asyncio.Server, _Listener())
         front.stop_listening = self._stop_listening  # type: ignore[method-assign,assignment]
@@ -143,7 +145,7 @@
     def hang_up_signal(self) -> None:
         """SIGHUP."""
         self.facts.sighups.append(self._world.now)
-        self.run(lambda: program.reload(self.proxy))
+        self.run(lambda: self._reloader.request())
 
     def exclude(self, server: str) -> None:
         """An operator takes a server out."""
--- a/tests/simulation/registry.py
+++ b/tests/simulation/registry.py
@@ -93,7 +93,7 @@
     leaves_out: bool = False  # a whole list doesn't name what drains
     indented: bool = False
     pieces: int = 1  # in which a message is written...
-    takes: float = 0.0  # ...over so many seconds
+    takes: float = 0.0  # ...over so many seconds, if it is the whole list
     behind: int = 0  # revisions that this replica lags behind...
     behind_until: float = -math.inf  # ...up to then
     junk: tuple[Any, ...] = ()  # rows that can't be read, in each message
@@ -107,7 +107,7 @@
     link: Link
     style: Style
     revision: int  # that it has been told
-    opened: float
+    span: Span  # in which it is open
     silent: bool = False
     free_at: float = 0.0  # when all that was written before is out
 
@@ -157,7 +157,8 @@
         self.up, self.refuses_dials = False, refuses_dials
         for link in [*self.watches, *self._heads, *(call.link for call in self._queue)]:
             link.reset()
-        self.watches.clear()
+        for watch in list(self.watches.values()):
+            self._forget(watch)
         self._heads.clear()
         self._queue.clear()
 
@@ -176,16 +177,16 @@
 
     def reset_watches(self) -> None:
         """All open ones."""
-        for link in list(self.watches):
-            link.reset()
-        self.watches.clear()
+        for watch in list(self.watches.values()):
+            watch.link.reset()
+            self._forget(watch)
 
     def end_watches(self) -> None:
         """All open ones, in good order."""
-        for link in list(self.watches):
-            link.send(END)
-            link.finish()
-        self.watches.clear()
+        for watch in list(self.watches.values()):
+            watch.link.send(END)
+            watch.link.finish()
+            self._forget(watch)
 
     def leave(self, process: str, close_after: float) -> None:
         """This process has been moved elsewhere: no new connections, and the open ones close soon."""
@@ -193,9 +194,9 @@
 
         def close() -> None:
             if process in self.gone_for:
-                for link in [link for link in self.watches if link.process == process]:
-                    link.finish()
-                    del self.watches[link]
+                for watch in [watch for watch in self.watches.values() if watch.link.process == process]:
+                    watch.link.finish()
+                    self._forget(watch)
 
         self._world.after(close_after, close)
 
@@ -232,16 +233,19 @@
     def closed(self, link: Link) -> None:
         """The process has let go of a connection; a call that is queued keeps its turn."""
         self._heads.pop(link, None)
-        watch = self.watches.pop(link, None)
-        facts = self._facts[link.process]
-        if watch is None:
-            return
+        watch = self.watches.get(link)
+        if watch is not None:
+            self._forget(watch)
+
+    def _forget(self, watch: Watch) -> None:
+        """A watch is over."""
+        del self.watches[watch.link]
+        facts, now = self._facts[watch.link.process], self._world.now
+        facts.watches.remove(watch.span)
+        facts.watches.append(Span(watch.span.start, now))
         if watch.silent:
-            facts.silences = [
-                Silence(silence.at, self._world.now) if silence.until == math.inf else silence
-                for silence in facts.silences
-            ]
-        facts.watches.append(Span(watch.opened, self._world.now))
+            facts.silences = [Silence(silence.at, now) if silence.until == math.inf else silence
+                              for silence in facts.silences]
 
     def _note_call(self, link: Link, failed: bool) -> None:
         self._facts[link.process].calls.append(Call(self._world.now, failed))
@@ -305,14 +309,16 @@
         self._write(watch, message, revision, whole)
         if style.ends:
             def end() -> None:
-                self.watches.pop(link, None)
+                if link in self.watches:
+                    self._forget(watch)
                 link.send(END)
                 link.finish()
 
             self._world.at(watch.free_at + 0.001, end)
 
     def _open(self, link: Link, style: Style, revision: int) -> Watch:
-        watch = self.watches[link] = Watch(link, style, revision, self._world.now)
+        watch = self.watches[link] = Watch(link, style, revision, Span(self._world.now))
+        self._facts[link.process].watches.append(watch.span)
         return watch
 
     def _seen(self, style: Style) -> int:
@@ -355,6 +361,7 @@
     def _write(self, watch: Watch, message: bytes, revision: int, whole: bool) -> None:
         """Write a message as the watch's style has it, and note it when its last byte is written."""
         world, style, link = self._world, watch.style, watch.link
+        takes = style.takes if whole else 0.0
         names = {entry["name"] for entry in self._ledger.whole(revision) if entry["status"] == "in_service"}
         pieces = max(1, min(style.pieces, len(message)))
         size = math.ceil(len(message) / pieces)
@@ -371,10 +378,10 @@
                 )
 
         for place, part in enumerate(parts):
-            when = begin + style.takes * place / max(1, len(parts) - 1) if len(parts) > 1 else begin
+            when = begin + takes * place / max(1, len(parts) - 1)
             last = place == len(parts) - 1
             if when <= world.now:
                 write(part, last)
             else:
                 world.at(when, lambda part=part, last=last: write(part, last))  # type: ignore[misc]
-        watch.free_at = begin + (style.takes if len(parts) > 1 else 0.0)
+        watch.free_at = begin + takes
