--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -12,6 +12,8 @@
 from simulation.network import Network
 
 PROBE_EVERY = 0.1  # seconds between two looks at `/healthz`
+SLOW_TIMEOUT = 1.0  # seconds for the answer to a request whose body comes slowly, from its last byte
+PIECES = 20  # in which such a body comes
 LATE_MOST = 0.55  # seconds after its time in which a request may still have its final answer
 
 
@@ -129,6 +131,24 @@
                 method, number, kind, timeout, len(body), body), sent)
         return sent
 
+    def send_slowly(self, size: int, seconds: float) -> Sent | None:
+        """One unsafe request whose body comes in pieces over so many seconds."""
+        if self.stopped or self.ready_at is None:
+            return None
+        number = f"{self._prefix}-{len(self.all)}".encode()
+        sent = Sent(number, True, self._world.now + seconds + SLOW_TIMEOUT)
+        self.all.append(sent)
+        connection = self._open()
+        connection.ask(
+            b"POST /api/k HTTP/1.1\r\nHost: h\r\nX-Request-ID: %b\r\nX-Priority-Class: book\r\n"
+            b"X-Tenant-Id: acme\r\nX-Timeout: %.3f\r\nContent-Length: %d\r\n\r\n" % (
+                number, SLOW_TIMEOUT, size), sent)
+        sent.again = True  # it can't be sent once more as a whole
+        for piece in range(PIECES):
+            self._world.after(seconds * piece / PIECES,
+                              lambda: connection.link.send(b"x" * (size // PIECES)))
+        return sent
+
     def answered(self, connection: _Connection, status: int, closes: bool) -> None:
         """An answer has come whole."""
         if connection is self._probe:
