--- a/lugspur/lab/fleet.py
+++ b/lugspur/lab/fleet.py
@@ -72,6 +72,8 @@
         self.folder = fleet.folder / name
         self.folder.mkdir(parents=True, exist_ok=True)
         self.log = self.folder / "log"
+        self.config = self.folder / "config.json"
+        self.more: dict[str, Any] = {}  # of its configuration, over what the fleet's has
         self.process: asyncio.subprocess.Process | None = None
         self.paused = False
 
@@ -135,7 +137,19 @@
         node = self.nodes[name]
         assert not node.running, f"{name} runs already"
         self._starts += 1
-        zones = self._zones
+        node.config.write_bytes(self.configuration(name))
+        kept = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
+        with node.log.open("ab") as log:
+            node.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "lugspur", cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log,
+                stderr=log, env=kept | {"RELAY_CONFIG": str(node.config), "TMPDIR": str(node.folder)}
+                | environment,
+            )
+        node.paused = False
+
+    def configuration(self, name: str) -> bytes:
+        """Its configuration file as it is to be now."""
+        node, zones = self.nodes[name], self._zones
         settings = {**wire(len(self.nodes), node.number, zones, node.number % len(zones)), **self._settings}
         raw: dict[str, Any] = {
             "name": name, "listen": _text(node.listen), "discovery": _text(self._discovery),
@@ -149,15 +163,7 @@
                 "gossip_addr": _text(node.gossip), "gossip_advertise": _text(self._advertised[name]),
                 "gossip_period": self.period, "cluster": "lab",
             }
-        path = node.folder / "config.json"
-        path.write_bytes(orjson.dumps(raw | dict(self._more)))
-        kept = {key: value for key, value in os.environ.items() if not key.startswith("RELAY_")}
-        with node.log.open("ab") as log:
-            node.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "lugspur", cwd=ROOT, stdin=asyncio.subprocess.DEVNULL, stdout=log,
-                stderr=log, env=kept | {"RELAY_CONFIG": str(path), "TMPDIR": str(node.folder)} | environment,
-            )
-        node.paused = False
+        return orjson.dumps(raw | dict(self._more) | node.more)
 
     async def start_all(self) -> None:
         """Start every proxy that does not run, and wait until each is ready."""
@@ -198,6 +204,10 @@
         self._signal(name, signal.SIGCONT)
         self.nodes[name].paused = False
 
+    def reload(self, name: str) -> None:
+        """SIGHUP: it reads its configuration file again."""
+        self._signal(name, signal.SIGHUP)
+
     def _signal(self, name: str, number: int) -> None:
         process = self.nodes[name].process
         assert process is not None
--- a/lugspur/lab/load.py
+++ b/lugspur/lab/load.py
@@ -69,7 +69,7 @@
         return answers
 
     async def ask(self, proxy: int, begun: float) -> Answer:
-        """One request to this proxy."""
+        """One request to this proxy, by an id that begins with `pNUMBER-`: a backend can tell the proxy."""
         self._count += 1
         sent = time.monotonic()
         method = "GET" if self._kind == "read" else "POST"
@@ -77,7 +77,7 @@
         asked = (self._count - 1) // len(self._proxies)
         affinity = f"X-Affinity: key{asked % self._keys}\r\n" if self._keys else ""
         request = (
-            f"{method} /api/k HTTP/1.1\r\nHost: lab\r\nX-Request-ID: lab{id(self)}-{self._count}\r\n"
+            f"{method} /api/k HTTP/1.1\r\nHost: lab\r\nX-Request-ID: p{proxy}-{id(self)}-{self._count}\r\n"
             f"{affinity}"
             f"X-Priority-Class: {self._kind}\r\nX-Tenant-Id: acme\r\nX-Timeout: {self._timeout:.3f}\r\n{key}"
             "Content-Length: 0\r\n\r\n"
--- a/lugspur/lab/registry.py
+++ b/lugspur/lab/registry.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Iterable, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -53,6 +53,20 @@
         """The list as a message."""
         return {"index": self.index, "snapshot": True, "endpoints": list(self._entries.values())}
 
+    def since(self, told: int) -> dict[str, Any]:
+        """What changed after this version as a message; the whole list where that is not known any more."""
+        if told < self._oldest:
+            return self.whole()
+        rows = [entry for index, entry in self._changes if index > told]
+        return {"index": self.index, "snapshot": False, "endpoints": rows}
+
+    async def wait_for_change(self, told: int) -> None:
+        """Until the list is newer than this version, or an empty line of a watch is due."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(ALIVE_EVERY), self._changed:
+                while told >= self.index:
+                    await self._changed.wait()
+
     @property
     def following(self) -> int:
         """Watches that are open now."""
@@ -95,25 +109,13 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         told = since
         while True:
-            if told < self.index:
-                message = self.whole()
-                if told >= self._oldest:
-                    rows = [entry for index, entry in self._changes if index > told]
-                    message = {"index": self.index, "snapshot": False, "endpoints": rows}
-                told = self.index
-                line = orjson.dumps(message) + b"\n"
-            else:
-                line = b"\n"
+            line = orjson.dumps(self.since(told)) + b"\n" if told < self.index else b"\n"
+            told = max(told, self.index)
             writer.write(b"%x\r\n%b\r\n" % (len(line), line))
             self.told_bytes += len(line)
             self.told_messages += 1
             await writer.drain()
-            try:
-                async with asyncio.timeout(ALIVE_EVERY), self._changed:
-                    while told >= self.index:
-                        await self._changed.wait()
-            except TimeoutError:
-                pass
+            await self.wait_for_change(told)
 
 
 @asynccontextmanager
