--- a/lugspur/lab/arrivals.py
+++ b/lugspur/lab/arrivals.py
@@ -1,9 +1,8 @@
 """Stand-in backends that know when each request came to the machine: `python -m lugspur.lab.arrivals`.
 
 The kernel stamps what comes in (SO_TIMESTAMPNS), so a process that is late to read adds nothing. They run in
-a process of their own together with the load, and it is led by lines of JSON. In: a `Plan`. Out: the
-addresses of the backends. In: anything. Out, once the load is over: a `Harvest`. It ends where its standard
-input does.
+a process of their own, as the load does, that is led by lines of JSON. In: a `Plan`. Out: the addresses of
+the backends. In: anything. Out, once the load is over: a `Harvest`. It ends where its standard input does.
 """
 
 from __future__ import annotations
@@ -13,6 +12,7 @@
 import struct
 import sys
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -32,13 +32,13 @@
 
 @dataclass(slots=True, frozen=True)
 class Plan:
-    """So many backends, and a load: requests a second in all, dealt to the proxies in turn."""
+    """So many backends, or a load: requests a second in all, dealt to the proxies in turn."""
 
-    backends: int
-    latency: float
-    proxies: list[Address]
-    rate: float
-    seconds: float
+    backends: int = 0
+    latency: float = 0.0
+    proxies: Sequence[Address] = ()
+    rate: float = 0.0
+    seconds: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,8 +119,9 @@
         if not data:
             self._end(connection)
             return
-        _, proxy, _ = data.partition(b"X-Request-ID: p")
-        self.arrivals.append(Arrival(_arrived(stamps), int(proxy.partition(b"-")[0]), number))
+        proxy = data.partition(b"X-Request-ID: p")[2].partition(b"-")[0]
+        if proxy.isdigit():
+            self.arrivals.append(Arrival(_arrived(stamps), int(proxy), number))
         self._loop.call_later(self._latency, self._answer, connection)
 
     def _answer(self, connection: socket.socket) -> None:
@@ -147,14 +148,14 @@
 
 
 class Traffic:
-    """The process of the backends and the load, as its parent sees it."""
+    """A process of backends, or of the load, as its parent sees it."""
 
     def __init__(self) -> None:
         self.addresses: list[Address] = []
         self._process: asyncio.subprocess.Process | None = None
 
     async def open(self, plan: Plan) -> None:
-        """Start it, with its backends up."""
+        """Start it; its backends are up then."""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "lugspur.lab.arrivals", cwd=ROOT, stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE, limit=LINE_MOST,
@@ -163,7 +164,7 @@
         self.addresses = [(host, port) for host, port in await self._answer()]
 
     def begin(self) -> None:
-        """Begin the load."""
+        """Begin the load; of backends alone: have enough."""
         self._write(b"{}")
 
     async def harvest(self) -> Harvest:
@@ -211,7 +212,7 @@
     if await lines.readline():
         load = Load([(host, port) for host, port in plan.proxies])
         begun = time.monotonic()
-        answers = await load.play(int(plan.rate * plan.seconds), plan.rate)
+        answers = await load.play(int(plan.rate * plan.seconds), plan.rate) if plan.proxies else []
         _say({
             "arrivals": [(row.at, row.proxy, row.backend) for row in backends.arrivals],
             "outcomes": [(begun + row.at, row.took, row.proxy, row.status) for row in answers],
--- a/lugspur/lab/crowded.py
+++ b/lugspur/lab/crowded.py
@@ -93,7 +93,7 @@
         await turn
 
     async def serve(self) -> None:
-        """Serve for ever. A call that was ended before its turn takes no time; one that is alone here does."""
+        """Serve for ever. A call that ended here before its turn, as one that is overdue, takes no time."""
         while True:
             turn = await self._queue.get()
             if turn.cancelled():
