--- a/lugspur/lab/crowded.py
+++ b/lugspur/lab/crowded.py
@@ -72,9 +72,8 @@
     written: dict[str, list[Written]] = field(default_factory=dict)
     silences: dict[str, list[Interval]] = field(default_factory=dict)  # until the process has let go
     calls: int = 0  # that came
-    served: int = 0  # whose turn came, and whose caller was still there
-    wasted: int = 0  # whose turn came after the caller had given up
     overdue: int = 0  # that waited for too long
+    turns: list[bool] = field(default_factory=list)  # of each in order: whether its caller was still there
 
 
 class Turns:
@@ -85,6 +84,16 @@
         self._random = Random(seed)
         self._queue: asyncio.Queue[asyncio.Future[None]] = asyncio.Queue()
         self._free_at = 0.0
+        self._free = asyncio.Event()
+        self._free.set()
+
+    def hold(self) -> None:
+        """Serve nobody for now."""
+        self._free.clear()
+
+    def release(self) -> None:
+        """Serve on."""
+        self._free.set()
 
     async def wait(self) -> None:
         """Until this call's turn is over."""
@@ -96,6 +105,7 @@
         """Serve for ever. A call that ended here before its turn, as one that is overdue, takes no time."""
         while True:
             turn = await self._queue.get()
+            await self._free.wait()
             if turn.cancelled():
                 continue
             now = time.monotonic()
@@ -314,10 +324,7 @@
         except TimeoutError:
             self.record.overdue += 1
             return False
-        if watch.abandoned():
-            self.record.wasted += 1
-        else:
-            self.record.served += 1
+        self.record.turns.append(not watch.abandoned())
         return True
 
     async def _follow(self, watch: Watch) -> None:
--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -27,7 +27,7 @@
 
 import drain_rule
 
-from lugspur.lab.arrivals import Harvest, Plan, Traffic
+from lugspur.lab.arrivals import Arrival, Harvest, Plan, Traffic
 from lugspur.lab.crowded import QUICK, CrowdedDiscovery, Interval
 from lugspur.lab.fleet import Fleet, Node
 
@@ -94,10 +94,11 @@
 
     # ---- before and after ----------------------------------------------------------------------
 
-    async def open(self, rate: float, seconds: float) -> None:
-        """Everything up, and all processes ready."""
+    async def open(self, rate: float = 0.0, seconds: float = 0.0) -> None:
+        """Everything up, and all processes ready; a load of so many requests a second for each."""
         proxies = [node.listen for node in self.fleet.nodes.values()]
-        await self.load.open(Plan(proxies=proxies, rate=rate * len(proxies), seconds=seconds))
+        if rate:
+            await self.load.open(Plan(proxies=proxies, rate=rate * len(proxies), seconds=seconds))
         await self.backends.open(Plan(backends=SERVERS, latency=SERVER_LATENCY))
         for number, (host, port) in enumerate(self.backends.addresses):
             self._servers.append({
@@ -223,6 +224,11 @@
         self.sighups[name].append(time.monotonic())
         self.fleet.reload(name)
 
+    async def arrivals(self) -> list[Arrival]:
+        """All requests that came to the backends; they answer no more."""
+        self.backends.begin()
+        return (await self.backends.harvest()).arrivals
+
     # ---- the facts -----------------------------------------------------------------------------
 
     def processes(self) -> list[drain_rule.Process]:
@@ -261,13 +267,13 @@
         return [drain_rule.Change(row.at, row.index, row.name, row.status == "in_service")
                 for row in self.discovery.record.changes]
 
-    def attempts(self, harvest: Harvest) -> list[drain_rule.Attempt]:
+    def attempts(self, arrivals: Iterable[Arrival]) -> list[drain_rule.Attempt]:
         """Every first byte, by the process that wrote it."""
         lives: dict[str, list[tuple[int, Life]]] = {name: [] for name in self.names}
         for number, life in enumerate(self.lives):
             lives[life.name].append((number, life))
         found = []
-        for row in harvest.arrivals:
+        for row in arrivals:
             name = self.names[row.proxy]
             number = max(number for number, life in lives[name] if life.started <= row.at)
             found.append(drain_rule.Attempt(row.at, f"{name}#{number}", f"s-{row.backend}"))
@@ -484,13 +490,13 @@
         await chosen.act(stage)
         stage.discovery.turns.service_time = max(stage.discovery.turns.service_time, QUICK)
         outcomes = (await stage.load.harvest()).outcomes
-        stage.backends.begin()
-        return judge(stage, play, seed, Harvest((await stage.backends.harvest()).arrivals, outcomes))
+        arrivals = await stage.arrivals()
+        return judge(stage, play, seed, Harvest(arrivals, outcomes))
 
 
 def judge(stage: Stage, play: str, seed: int, harvest: Harvest) -> Result:
     """Hold what has happened to the rule."""
-    attempts = stage.attempts(harvest)
+    attempts = stage.attempts(harvest.arrivals)
     outcomes: Counter[str] = Counter()
     away: Counter[str] = Counter()
     for row in harvest.outcomes:
@@ -504,8 +510,8 @@
         drain_rule.violations(stage.changes(), stage.processes(), attempts, drain_rule.Rule(GRACE)),
         len(attempts), outcomes, away,
         [life.ready - life.started for life in stage.lives[len(stage.names):]],
-        f"{record.calls} calls, {record.served} served, {record.wasted} after their caller had gone, "
-        f"{record.overdue} overdue", stage.untold(),
+        f"{record.calls} calls, {sum(record.turns)} served, {record.turns.count(False)} after their caller "
+        f"had gone, {record.overdue} overdue", stage.untold(),
     )
 
 
