--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,15 @@
 bench-slopes:
 	$(PYTHON) -m bench.slopes
 
+# Two hundred real processes under faults of discovery, held to the rule on drains: about a minute a play, up to
+# 5 GB of memory. PLAYS_FLEET names some (`--play ended --play herd`); none: all of them.
+.PHONY: fleet-faults
+PROCESSES ?= 200
+SEED ?= 1
+PLAYS_FLEET ?=
+fleet-faults:
+	PYTHONPATH=. $(PYTHON) tests/drain_fleet.py --processes $(PROCESSES) --seed $(SEED) $(PLAYS_FLEET)
+
 # Longer, half an hour and four processors: not part of `bench`. Sizes are hollow proxies.
 .PHONY: bench-scale
 bench-scale:
--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -457,6 +457,47 @@
     await stage.drain_over(8, 4.0)
 
 
+async def restart_all(stage: Stage) -> None:
+    """Kill half of the processes and start them again; the others serve on."""
+    names = stage.draw(0.5)
+    await stage.kill(names)
+    await stage.restart(names)
+
+
+async def ready_up(stage: Stage) -> None:
+    await restart_all(stage)
+
+
+async def ready_slow(stage: Stage) -> None:
+    stage.crowd(6.0)
+    await restart_all(stage)
+
+
+async def ready_refused(stage: Stage) -> None:
+    stage.gone()
+    await restart_all(stage)
+    await asyncio.sleep(10.0)
+    await stage.back()
+
+
+async def ready_unavailable(stage: Stage) -> None:
+    stage.discovery.sites[0].answer_unavailable()
+    stage.away.append(Interval(time.monotonic()))
+    await restart_all(stage)
+    await asyncio.sleep(10.0)
+    stage.discovery.sites[0].recover()
+    stage.away[-1].end = time.monotonic()
+
+
+async def ready_mute(stage: Stage) -> None:
+    stage.discovery.sites[0].fall_mute()
+    stage.away.append(Interval(time.monotonic()))
+    await restart_all(stage)
+    await asyncio.sleep(10.0)
+    stage.discovery.sites[0].recover()
+    stage.away[-1].end = time.monotonic()
+
+
 PLAYS = {
     "calm": Play("no fault", 12.0, calm),
     "ended": Play("watches end, discovery crowded (5 s for all)", 26.0, ended),
@@ -474,6 +515,11 @@
     "moved_and_back": Play("SIGHUPs to a dead address and back", 20.0, moved_and_back),
     "paused": Play("SIGSTOP for 3 s and 0.15 s while drains are told", 24.0, paused),
     "cut": Play("watches end, half of the first answers cut, crowded (2 s)", 24.0, cut),
+    "ready_up": Play("half restarted, discovery up", 8.0, ready_up),
+    "ready_slow": Play("half restarted, discovery slow (6 s for all)", 12.0, ready_slow),
+    "ready_refused": Play("half restarted, discovery refuses for 10 s", 15.0, ready_refused),
+    "ready_unavailable": Play("half restarted, discovery answers 503 for 10 s", 15.0, ready_unavailable),
+    "ready_mute": Play("half restarted, discovery accepts and is mute for 10 s", 15.0, ready_mute),
 }
 
 
