Requests that come to a new process before its first list wait for it

Cause: a process took requests as soon as it listened, and sent them by the list known at its start until discovery's first answer; only /healthz waited for that. What the agent has counts from the first moment of a new process: servers that were drained or removed while no process ran were sent requests, by clients that come back before the process is ready.

Change: where lists are pushed, and some backend is known, a request that comes first is held until the list is loaded, its client leaves or its time is up; where the first call fails without a queue, discovery is down, and the known list serves at once.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -164,6 +164,9 @@
         self._start_times = StartTimes()
         self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
+        self._held: list[Call] = []  # that came before the first list
+        # Where the list is asked for, the one known at the start holds until then.
+        self._holds = config.settings.discovery is Discovery.PUSHED and bool(config.known["endpoints"])
         self._count = 0
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
@@ -198,7 +201,7 @@
         known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
-            failed=lambda: self.call_failed(),
+            failed=self._call_has_failed,
         )
         self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
@@ -345,6 +348,19 @@
 
     def _loaded(self) -> None:
         self.front.loaded.set()
+        self._admit_held()
+
+    def _call_has_failed(self) -> None:
+        """Where discovery is down the list known at the start serves the requests that are here already."""
+        if not self._discovery.may_answer():
+            self._admit_held()
+        self.call_failed()
+
+    def _admit_held(self) -> None:
+        self._holds = False
+        held, self._held = self._held, []
+        for call in held:
+            self._admit(call)
 
     def _serve_by_known(self, latest: float) -> None:
         """Serve by the list known at the start, at the latest at this time of the loop.
@@ -453,6 +469,18 @@
         else:
             request.body.arrived = lambda: self._arrived(call)
             request.body.let_go = lambda: self._perform(self._decide(self._balancer.bind, call.rid))
+        if self._holds:
+            # Guards against servers that were drained or removed while no process ran: the list is coming.
+            self._held.append(call)
+        else:
+            self._admit(call)
+
+    def _admit(self, call: Call) -> None:
+        """Give a request to the module, unless its client has left or its time is up."""
+        if call.caller is None:
+            return
+        request, facts = call.request, call.facts
+        whole = request.body.whole
         until = call.deadline if whole else self._loop.time() + facts.timeout
         self._perform(self._decide(
             self._balancer.request, call.rid, facts.kind, facts.tenant, until + self._epoch, facts.cost,
