Log: a full, broken or unread standard error holds up nothing and raises nothing

Cause: print() to a pipe that nobody reads blocked the event loop for good (no request, no watch, no SIGTERM), and an OSError of it went out of except blocks and ended tasks. Lines are now written only as far as standard error takes them at once; what is lost is counted.

--- a/lugspur/events.py
+++ b/lugspur/events.py
@@ -3,19 +3,24 @@
 An event has a name to search for (`member.state`), a level, the time, the proxy's name and its fields.
 structlog renders it, and loads with the first line only: a proxy that has nothing to say pays nothing.
 Repeats are bounded: of events with the same name and the same subject MOST a SPAN are written, and the next
-one tells how many were not (`suppressed`).
+one tells how many were not (`suppressed`). A line is written as far as standard error takes it at once: one
+that is full, broken or closed must not hold up the loop, nor what reports to it.
 """
 
 from __future__ import annotations
 
+import os
+import select
 import sys
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any
 
 MOST = 20  # lines of one event and subject...
 SPAN = 10.0  # ...in so many seconds
 SUBJECTS = ("member", "file", "reason", "error")  # the fields that tell one repeat from another
+PIECE = select.PIPE_BUF  # bytes that a pipe with any room takes without waiting
 KEYS_MOST = 2_000  # events and subjects that are counted at a time
 
 Render = Callable[[str, dict[str, Any]], str]
@@ -30,6 +35,7 @@
         self._clock = clock
         self._render: Render | None = None
         self._counts: dict[tuple[str, ...], list[float]] = {}  # begin of the span, lines, suppressed
+        self.lost = 0  # lines that standard error did not take, or not whole
 
     def info(self, event: str, **fields: Any) -> None:
         """Something that happens in order."""
@@ -62,8 +68,32 @@
         if self.node:
             fields.setdefault("node", self.node)
         if self._render is None:
-            self._render = renderer(sys.stderr.isatty())
-        print(self._render(level, {"event": event, **fields}), file=sys.stderr, flush=True)
+            self._render = renderer(sys.stderr is not None and sys.stderr.isatty())
+        line = self._render(level, {"event": event, **fields}) + "\n"
+        if not write_at_once(line.encode(errors="backslashreplace")):
+            self.lost += 1
+
+
+def write_at_once(data: bytes) -> bool:
+    """Write to standard error without waiting for it; False where it did not take all."""
+    try:
+        descriptor = sys.stderr.fileno()
+    except (OSError, ValueError, AttributeError):  # there is none, or one of its own in place of it
+        with suppress(Exception):
+            print(data.decode(), end="", file=sys.stderr, flush=True)
+            return True
+        return False
+    try:
+        room = select.poll()
+        room.register(descriptor, select.POLLOUT)
+        for at in range(0, len(data), PIECE):
+            piece = data[at:at + PIECE]
+            ready = room.poll(0)
+            if not ready or not ready[0][1] & select.POLLOUT or os.write(descriptor, piece) != len(piece):
+                return False
+    except OSError:
+        return False
+    return True
 
 
 def renderer(terminal: bool) -> Render:
--- a/tests/faults/calls.py
+++ b/tests/faults/calls.py
@@ -24,7 +24,7 @@
 CALLS = (*SOCKET_CALLS, *FILE_CALLS, "socket", "so_error", "epoll_register", "epoll_modify", "poll", "stderr",
          "thread")
 
-_exists, _write_raw, _open_raw, _sleep = os.path.exists, os.write, os.open, time.sleep
+_write_raw, _open_raw, _sleep = os.write, os.open, time.sleep
 
 
 class Injector:
@@ -219,8 +219,14 @@
             start(thread)
 
         self.put(threading.Thread, "start", stand_in)
-        if self.plan.interested("stderr"):
-            self.put(sys, "stderr", Stderr(self, sys.stderr))
+        write = os.write
+
+        def write_stderr(descriptor: int, data: Any) -> int:
+            if descriptor == standard_error() and self.plan.interested("stderr"):
+                self.strike("stderr", Place())
+            return write(descriptor, data)
+
+        self.put(os, "write", write_stderr)
 
 
 class File(io.FileIO):
@@ -249,18 +255,9 @@
         return super().write(memoryview(data)[:fault.limit] if fault is not None else data)
 
 
-class Stderr:
-    """Standard error whose writes may fail."""
-
-    def __init__(self, injector: Injector, real: Any) -> None:
-        self._injector, self._real = injector, real
-
-    def write(self, text: str) -> int:
-        self._injector.strike("stderr", Place())
-        return int(self._real.write(text))
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self._real, name)
+def standard_error() -> int:
+    """Its descriptor, also where the test's runner has put another in its place."""
+    return sys.stderr.fileno()
 
 
 def port(name: Callable[[], Any]) -> int:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -101,15 +101,15 @@
         with pytest.raises(RuntimeError):
             threading.Thread(target=lambda: None).start()
         with pytest.raises(BrokenPipeError):
-            sys.stderr.write("x")
+            os.write(sys.stderr.fileno(), b"x")
     assert plan.hits == [1] * 5
 
 
 def test_all_is_put_back_after_the_block() -> None:
-    before = (socket.socket.send, os.fsync, select.poll, open, threading.Thread.start, sys.stderr)
+    before = (socket.socket.send, os.fsync, select.poll, open, threading.Thread.start, os.write)
     with injected(Plan([Fault("send", errno.EPIPE)])):
         assert socket.socket.send is not before[0]
-    assert (socket.socket.send, os.fsync, select.poll, open, threading.Thread.start, sys.stderr) == before
+    assert (socket.socket.send, os.fsync, select.poll, open, threading.Thread.start, os.write) == before
 
 
 def test_a_step_of_the_wall_clock_leaves_the_other_one_alone() -> None:
--- /dev/null
+++ b/tests/test_faults_log.py
@@ -0,0 +1,111 @@
+"""Standard error that is full, broken, closed or blocked: the log loses lines, and nothing else waits."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import subprocess
+import sys
+import threading
+from pathlib import Path
+
+import pytest
+from faults.calls import injected
+from faults.plan import ALWAYS, Fault, Plan
+from loopback import (
+    HOST,
+    OK,
+    WIDE,
+    backend,
+    connect,
+    entry,
+    environment,
+    free_port,
+    read,
+    soon,
+    status,
+    watches,
+)
+from test_ends import ROOT, answers
+
+from lugspur.events import PIECE, Log
+
+
+@pytest.mark.parametrize("error", [errno.EPIPE, errno.ENOSPC, errno.EIO, errno.EAGAIN, errno.EBADF])
+def test_a_line_that_cannot_be_written_is_counted_and_nothing_is_raised(error: int) -> None:
+    log = Log()
+    with injected(Plan([Fault("stderr", error, count=ALWAYS)])):
+        try:
+            raise ValueError("found by a test")
+        except ValueError:
+            log.error("module.fault", exc_info=True)
+    assert log.lost == 1
+
+
+def test_a_pipe_that_nobody_reads_holds_nobody_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    reading, writing = os.pipe()
+    with os.fdopen(writing, "w") as full:
+        monkeypatch.setattr(sys, "stderr", full)
+        log, done = Log(), threading.Event()
+
+        def fill() -> None:
+            for number in range(200):
+                log.info("event", error=f"{number}", text="x" * 3 * PIECE)
+            done.set()
+
+        threading.Thread(target=fill, daemon=True).start()
+        ended = done.wait(WIDE)
+        os.close(reading)
+    assert ended and log.lost > 0
+
+
+@pytest.mark.parametrize("kind", ["full", "unread", "broken", "closed"])
+def test_a_process_without_a_log_learns_of_drains_serves_and_ends(kind: str, tmp_path: Path) -> None:
+    """Its discovery sends what can't be read, which is logged each time."""
+    async def play() -> None:
+        async with backend(lambda _: OK) as one, backend(lambda _: OK) as two, watches() as registry:
+            port, known = free_port(), [entry("a", one.address), entry("b", two.address)]
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}", known)
+            reading, writing = os.pipe()
+            if kind == "broken":
+                os.close(reading)
+            with open("/dev/full", "wb") as disk:
+                target = disk.fileno() if kind == "full" else writing
+                command = [sys.executable, "-m", "lugspur"]
+                if kind == "closed":
+                    command = ["sh", "-c", 'exec "$@" 2>&-', "sh", *command]
+                proxy = await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=env, stderr=target)
+            if kind == "unread":
+                os.set_blocking(writing, False)
+                try:
+                    while True:
+                        os.write(writing, b"x" * PIECE)
+                except BlockingIOError:
+                    os.set_blocking(writing, True)
+            await answers(port, 200)
+            for _ in range(2):
+                await soon(registry.asked.get())
+                assert registry.writer is not None
+                registry.writer.write(b"7\r\n{\"a\":1\n\r\n6\r\nno}}}\n\r\n")
+            await soon(registry.asked.get())
+            registry.say(9, [entry("a", one.address, "terminating")])
+            client = await connect(port)
+            for number in range(3):
+                assert status(await client.ask(read(number))) == 200
+            while one.got.qsize():
+                one.got.get_nowait()
+            proxy.terminate()
+            assert await soon(proxy.wait()) == 0
+            os.close(writing)
+            if kind != "broken":
+                os.close(reading)
+
+    asyncio.run(play())
+
+
+def test_standard_error_that_works_takes_long_lines_whole() -> None:
+    program = ("from lugspur.events import log\nlog.info('event', text='x' * 20000)\n"
+               "assert log.lost == 0")
+    done = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True)
+    assert done.returncode == 0 and len(done.stderr) > 20000 and done.stderr.count("\n") == 1
