Orders: read again after a failed read, withdrawn where not kept, set aside where torn

Texts that do not check are put under *.set-aside and counted. test_orders: the folder's listing names that file too, and its text is compared.

--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -6,7 +6,7 @@
 import math
 import time
 from collections.abc import Callable
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import Executor
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
@@ -33,6 +33,7 @@
 from lugspur.config import Address, Config
 from lugspur.events import log
 from lugspur.orders import OrderBook, Orders
+from lugspur.scribe import Scribe
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.telemetry import Telemetry
 
@@ -150,7 +151,7 @@
         self._config = config
         self._orders = orders or OrderBook(None)
         # Guards the loop: a file's disk may stand still for half a second. One thread keeps orders in order.
-        self._scribe = ThreadPoolExecutor(max_workers=1)
+        self._scribe = Scribe()
         self._memory = memory
         self._loop = asyncio.get_running_loop()
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
@@ -195,8 +196,9 @@
         self._members(ListKind.STALE, reader.endpoints(config.known))
         self._orders.refresh()
         self._obey(self._orders.current)
-        if config.listen_fd is not None:  # else there is no second process
-            self._noticing = self._loop.create_task(self._notice())
+        self._obeyed = self._orders.current
+        self._noticing: asyncio.Task[None] | None = None
+        self._go_on_noticing()
         if self._memory is not None:
             restored = self._memory.load(len(config.settings.classes))
             self._perform(self._decide(self._balancer.restore, *restored))
@@ -385,19 +387,31 @@
             takes = self._balancer.takes(server)
             self._upstream.update(backend, backend.address, backend.started, takes)
 
+    def _go_on_noticing(self) -> None:
+        """Look for orders as long as there may be some: of a second process, or not yet read."""
+        if self._noticing is None or self._noticing.done():
+            self._noticing = self._loop.create_task(self._notice())
+
     async def _notice(self) -> None:
-        while True:
+        while self._config.listen_fd is not None or self._orders.pending:
             await asyncio.sleep(NOTICE_EVERY)
-            if await self._loop.run_in_executor(self._scribe, self._orders.refresh):
-                self._obey(self._orders.current)
+            try:
+                await self._loop.run_in_executor(self._scribe, self._orders.refresh)
+                if self._orders.current != self._obeyed:
+                    self._obey(self._orders.current)
+                    self._obeyed = self._orders.current
+            except Exception:  # Guards later orders: a look that fails is made again.
+                log.error("orders.look", exc_info=True)
 
     async def _order(self, edit: Callable[[Orders], Orders]) -> None:
         """Keep an order, so that a second process obeys it too, and obey it."""
         try:
             orders = await self._loop.run_in_executor(self._scribe, self._orders.change, edit)
         except OSError as fault:
+            self._go_on_noticing()
             raise Rejected(503, f"the order can't be kept: {fault.strerror}") from fault
         self._obey(orders)
+        self._obeyed = orders
 
     # ---- requests ------------------------------------------------------------------------------
 
--- a/lugspur/store/bans.py
+++ b/lugspur/store/bans.py
@@ -29,9 +29,7 @@
 
     def _read(self, path: Path) -> Orders:
         now = time.time()
-        contents = frames.read(path, "orders", self._name, now)
-        if contents.fault == "missing":
-            raise FileNotFoundError(path)
+        contents = frames.parse(frames.read_bytes(path), "orders", self._name, now)
         if contents.fault or len(contents.records) != 1:
             raise ValueError(f"the orders do not check: {contents.fault or 'records'}")
         at, text = contents.records[0]
--- a/lugspur/store/frames.py
+++ b/lugspur/store/frames.py
@@ -67,8 +67,7 @@
 def read(path: Path, kind: str, name: str, now: float) -> Contents:
     """What is in this file, if it is of this kind and process; see `Contents` for what else there may be."""
     try:
-        with path.open("rb") as file:
-            data = file.read(FILE_MOST + 1)
+        data = read_bytes(path)
     except FileNotFoundError:
         return Contents(fault="missing")
     except OSError:
@@ -76,6 +75,12 @@
     return parse(data, kind, name, now)
 
 
+def read_bytes(path: Path) -> bytes:
+    """The file's bytes, not many more than may be in one; OSError where they can't be read."""
+    with path.open("rb") as file:
+        return file.read(FILE_MOST + 1)
+
+
 def parse(data: bytes, kind: str, name: str, now: float) -> Contents:
     """`read`, of the file's bytes."""
     if not data:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -182,7 +182,8 @@
     book.change(lambda orders: replace(orders, drained=True))
     other = OrderBook(path)
     assert other.refresh() and other.current == Orders(drained=True)
-    assert sorted(os.listdir(tmp_path)) == ["n0.lock", "n0.orders-5"]
+    assert sorted(os.listdir(tmp_path)) == ["n0.lock", "n0.orders-5", "n0.set-aside"]
+    assert (tmp_path / "n0.set-aside").read_bytes() == text
 
 
 @pytest.mark.parametrize(
