--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -11,13 +11,13 @@
 from __future__ import annotations
 
 from bisect import bisect_right
-from collections import deque
 from collections.abc import Sequence
 from dataclasses import replace
 from itertools import chain
 from math import exp, inf, log, sqrt
 from random import Random
 
+from jaspershelf.breaker import Breaker
 from jaspershelf.model import (
     NEVER_RAN,
     Action,
@@ -43,25 +43,17 @@
     TierMemory,
     Timer,
 )
-
-WINDOW = 10.0  # seconds that the error ratio looks back
-BUCKETS = 40
-K = 1.5  # accepted calls are worth this many requests...
-MIN_K = 1.1  # ...and this many when every recent bucket fails
-PROTECTION = 5  # requests that never count against a server
-FORCE_PASS = 1.0  # seconds between calls that pass whatever the ratio
-ACTIVATION = 3.0  # the latency chance starts at this multiple of the baseline...
-CEILING = 0.95  # ...and is full at this part of the timeout...
-LATENCY_CAP = 0.3  # ...where it has this value
+from jaspershelf.rates import Rate, risen
+from jaspershelf.retry_budget import RetryBudget
 
 AIM_PART = 0.98  # attempts end this early in the wanted time: the answer still has to reach the client
 LATE_KEPT = 0.5  # classes whose late answers keep more of their worth are waited for
 
 DRAWS = 8  # random draws for two candidates, at most
+FIRST_ASK_MOST = 0.8  # seconds over which instances that start together spread their first call for the list
 EXTRA_FREE = 5.0  # further attempts in any span where no retry budget is stated...
 EXTRA_SHARE = 0.2  # ...and for each request taken in it: more would feed an overload...
 EXTRA_SPAN = 10.0  # ...over so many seconds
-EDGE = 1e-5  # seconds by which a span is read to the budget's disadvantage: clocks are rounded
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
 SMOOTH = 32.0  # answers over which the latency of the tier, and of each class, is smoothed
@@ -105,172 +97,9 @@
 REST, REST_MOST = 1.0, 8.0  # ...so many seconds, doubling
 OVERDUE = 3.0  # times its class's current latency that an attempt is out before a second copy is sent
 
-SUBSCRIBE = 1  # timer token; those above it are second copies that fall due
-
-
-class Breaker:
-    """The design's chance of refusing locally: a call to one server, or any request of a pool."""
-
-    __slots__ = (
-        "_accepts", "_failing", "_failures", "_requests", "_ring", "_width", "baseline", "current",
-        "last_pass",
-    )
-
-    def __init__(self, window: float = WINDOW) -> None:
-        self._width = window / BUCKETS
-        self._ring: deque[list[int]] = deque()  # [bucket number, requests, accepts, failures]
-        self._requests = self._accepts = self._failures = self._failing = 0
-        self.baseline = self.current = 0.0
-        self.last_pass = float("-inf")
-
-    def _count(self, now: float) -> list[int]:
-        """The bucket of now, with one more request in it."""
-        number = int(now / self._width)
-        ring = self._ring
-        if not ring or ring[-1][0] < number:
-            self._expire(number)
-            ring.append([number, 0, 0, 0])
-        ring[-1][1] += 1
-        self._requests += 1
-        return ring[-1]
-
-    def counts(self, now: float) -> tuple[int, int, int]:
-        """Requests, accepts and failures in the window."""
-        self._expire(int(now / self._width))
-        return self._requests, self._accepts, self._failures
-
-    def restore(self, memory: ServerMemory) -> None:
-        """Take up what an earlier process counted and averaged, as if it were all of its last moment."""
-        self.baseline, self.current = memory.baseline, memory.current
-        self._requests, self._accepts, self._failures = memory.requests, memory.accepts, memory.failures
-        number = int(memory.at / self._width)
-        self._ring = deque([[number, memory.requests, memory.accepts, memory.failures]])
-
-    def _expire(self, number: int) -> None:
-        ring = self._ring
-        while ring and ring[0][0] <= number - BUCKETS:
-            old = ring.popleft()
-            self._requests -= old[1]
-            self._accepts -= old[2]
-            self._failures -= old[3]
-        self._failing = min(self._failing, len(ring))
-
-    def refused(self, now: float) -> None:
-        """Count a call refused here."""
-        self._count(now)
-
-    def accepted(self, now: float) -> None:
-        """Count a call that the server accepted."""
-        self._count(now)[2] += 1
-        self._accepts += 1
-        self._failing = 0
-
-    def failed(self, now: float) -> None:
-        """Count an error, time-out, full refusal or failed connection."""
-        bucket = self._count(now)
-        if not bucket[2] and not bucket[3]:
-            self._failing += 1  # newest run of buckets that only failed
-        bucket[3] += 1
-        self._failures += 1
-
-    def sample(self, latency: float) -> None:
-        """Move both averages by the latency of a success."""
-        if self.current <= 0.0:
-            self.baseline = self.current = latency
-            return
-        weight = 4.0 if latency < self.baseline else 100.0
-        self.baseline += (latency - self.baseline) / weight
-        self.current += (latency - self.current) / 4.0
-
-    def failed_part(self, now: float) -> float:
-        """The part of the calls that failed, of those not refused here."""
-        self._expire(int(now / self._width))
-        return self._failures / (self._failures + self._accepts + PROTECTION)
-
-    def error_ratio(self, now: float, most: float = K, protection: float = PROTECTION) -> float:
-        """Adaptive throttling over the window; K falls as the newest failing buckets grow."""
-        self._expire(int(now / self._width))
-        k = most - (most - MIN_K) * self._failing / BUCKETS
-        return max(0.0, (self._requests - protection - k * self._accepts) / (self._requests + 1))
-
-    def latency_ratio(self, timeout: float) -> float:
-        """The capped chance for a current latency far over the baseline; 0 without a usable timeout."""
-        threshold = ACTIVATION * self.baseline
-        span = CEILING * timeout - threshold
-        if timeout <= 0.0 or threshold <= 0.0 or span <= 0.0:
-            return 0.0
-        return min(max((self.current - threshold) / span * LATENCY_CAP, 0.0), LATENCY_CAP)
-
-    def drop_probability(self, now: float, timeout: float) -> float:
-        """The larger of the two chances."""
-        return max(self.error_ratio(now), self.latency_ratio(timeout))
-
-    def refuses(self, now: float, timeout: float, rng: Random) -> bool:
-        """Whether to refuse this call; one call a second passes while calls are dropped."""
-        chance = self.drop_probability(now, timeout)
-        if chance <= 0.0:
-            return False
-        if now - self.last_pass < FORCE_PASS and rng.random() < chance:
-            self.refused(now)
-            return True
-        self.last_pass = now
-        return False
-
-
-def _risen(age: float) -> float:
-    """The part of a steady rate that a `Rate` shows which has counted from zero for so long."""
-    return 1.0 - exp(-max(age, 0.2) / 2.0)
-
-
-class Rate:
-    """Events a second, smoothed over two seconds."""
-
-    __slots__ = ("_at", "_value")
-
-    def __init__(self) -> None:
-        self._value = self._at = 0.0
-
-    def add(self, now: float) -> None:
-        """Count one event."""
-        self._value = self.read(now) + 0.5
-        self._at = now
-
-    def read(self, now: float) -> float:
-        """The rate as of now."""
-        return self._value * max(0.0, 1.0 - (now - self._at) / 2.0)
+SIZE_LEAST, SIZE_MOST = 1e-6, 1e6  # what stated sizes are held to: sums and quotients of them stay finite
 
-
-class Budget:
-    """The retry budget: attempts beyond each request's first against the requests taken, in any span.
-
-    Guards against retries that feed an overload, and keeps the rule where one is stated. Could harm where
-    many first attempts fail for other causes than load: what would be saved by a second is lost.
-    """
-
-    def __init__(self, free: float, share: float, span: float) -> None:
-        self._free, self._share, self._span = free, share, span
-        self._taken: deque[float] = deque()
-        self._extra: deque[float] = deque()
-
-    def take(self, now: float) -> None:
-        """Count a request taken, refused ones too."""
-        self._taken.append(now)
-        self._expire(now)
-
-    def allows(self, now: float) -> bool:
-        """Whether one more further attempt may be sent now."""
-        self._expire(now)
-        return len(self._extra) + 1.0 <= self._free + self._share * len(self._taken)
-
-    def spend(self, now: float) -> None:
-        """Count a further attempt."""
-        self._extra.append(now)
-
-    def _expire(self, now: float) -> None:
-        while self._taken and self._taken[0] <= now - self._span + EDGE:
-            self._taken.popleft()
-        while self._extra and self._extra[0] < now - self._span - EDGE:
-            self._extra.popleft()
+SUBSCRIBE = 1  # timer token; those above it are second copies that fall due
 
 
 class Server:
@@ -338,6 +167,22 @@
         return max(latency, age) * (len(out) + 1.0)
 
 
+def _is_figure(value: float) -> bool:
+    return isinstance(value, (int, float)) and 0.0 <= value < inf
+
+
+def _usable_row(row: ServerRow) -> ServerRow:
+    """The row as it can be reckoned with: sizes are bounded, and a server without sound figures is not used.
+
+    Guards the list: one row that no sum can be made of must neither hide the others nor keep its server used.
+    """
+    if _is_figure(row.size) and _is_figure(row.started):
+        size = min(max(row.size, SIZE_LEAST), SIZE_MOST) if row.size else row.size
+        return row if size == row.size else replace(row, size=size)
+    state = State.DRAINING if row.state is State.UP else row.state
+    return replace(row, state=state, size=1.0, started=0.0)
+
+
 class Attempt:
     """One send of a request."""
 
@@ -474,8 +319,10 @@
         self.pooled = 0.0  # current latency of the tier
         self.requests: dict[RequestId, Request] = {}
         rules = settings.rules
-        stated = rules.extra_free, rules.extra_share, rules.extra_span
-        self.budget = Budget(*stated if rules.extra_span > 0.0 else (EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN))
+        self.budget = (
+            RetryBudget(rules.extra_free, rules.extra_share, rules.extra_span) if rules.extra_span > 0.0
+            else RetryBudget(EXTRA_FREE, EXTRA_SHARE, EXTRA_SPAN)
+        )
         self.memories: dict[ServerId, ServerMemory] = {}  # of an earlier process, until the list names them
         self.asking = False
         self.copies: dict[int, tuple[RequestId, int]] = {}  # timer token: which attempt it watches
@@ -507,8 +354,10 @@
         """Call once, after the first list was given."""
         if self.settings.discovery is not Discovery.ON_REQUEST:
             return []
-        # All instances start together: spread the first calls over what the rules allow unasked.
-        return self._ask_in(now, 0.4 * self.settings.rules.ask_within * self.rng.random())
+        # All instances start together: spread the first calls over what the rules allow unasked. But the list
+        # may be old, and a first call that fails must leave time for the next ones.
+        spread = min(0.4 * self.settings.rules.ask_within, FIRST_ASK_MOST)
+        return self._ask_in(now, spread * self.rng.random())
 
     def _ask_in(self, now: float, delay: float) -> list[Action]:
         if self.asking:
@@ -525,6 +374,7 @@
             return self._ask_in(now, delay)
         if kind is not ListKind.STALE:
             self.backoff = 1.0
+        rows = [_usable_row(row) for row in rows]
         if kind is not ListKind.PATCH:
             listed = {row.server for row in rows}
             for server in self.servers.values():
@@ -534,9 +384,7 @@
         for row in rows:
             known = self.servers.get(row.server)
             if known is None:
-                known = self.servers[row.server] = Server(row)
-                if row.server in self.memories:
-                    known.restore(self.memories.pop(row.server))
+                self.servers[row.server] = Server(row)
                 continue
             if row.started > known.row.started:
                 known.restart(row.started)
@@ -544,6 +392,11 @@
         self._arrange(now)
         return []
 
+    def _recall(self) -> None:
+        """Take up what an earlier process knew of servers that the list names only now."""
+        for number in [number for number in self.memories if number in self.servers]:
+            self.servers[number].restore(self.memories.pop(number))
+
     def restore(
         self, now: float, servers: Sequence[ServerMemory], tier: TierMemory | None
     ) -> list[Action]:
@@ -620,7 +473,16 @@
         return len(listed), len(avoided)
 
     def _arrange(self, now: float) -> None:
-        """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
+        """Rebuild the lists of ready servers and choose the slices anew.
+
+        Guards the drains: they hold once the ready are listed, whatever the rest may run into.
+        """
+        self._list_ready()
+        self._recall()
+        self._resize(now)
+
+    def _list_ready(self) -> None:
+        """Rebuild the lists of ready servers; drained and gone ones leave them, and the slices, at once."""
         # A ring in scattered order, the same at every instance.
         ready = [s for s in self.servers.values() if self._takes(s)]
         ready.sort(key=lambda s: (s.row.server * 0x9E3779B1 & 0xFFFFFFFF, s.row.server))
@@ -630,7 +492,7 @@
             for server in pool.ready:
                 pool.groups.setdefault((Group.ZONE, server.row.zone), []).append(server)
                 pool.groups.setdefault((Group.CELL, server.row.cell), []).append(server)
-        self._resize(now)
+            pool.working, pool.ends = [], []
 
     # ---- what instances share ----------------------------------------------------------------
 
@@ -816,7 +678,7 @@
         wide = min(1.0, ROOM_SLOPE * pool.losses.failed_part(now))
         return {
             n: ((1.0 - wide) * self.zones[n].share / share / size + wide / total * (n not in self.avoided))
-            * sum(able.values()) for n, size in able.items()
+            * sum(able.values()) if size else 1.0 for n, size in able.items()
         }
 
     def _resize(self, now: float) -> None:
@@ -840,7 +702,7 @@
             rate = max(pool.rate.read(now), pool.before if begins else 0.0)
             want = total / max(1, len(pool.ready)) * (1.0 + WORKING_SPREAD * rate * self.pooled)
             step = total / self.balancers  # only whole steps cover every server alike
-            pool.width = min(total, step * max(1, round(want / step))) if total else 0.0
+            pool.width = min(total, step * max(1, round(want / step))) if step else 0.0
             if begins and not pool.before:  # Guards the start: a load not yet seen is not a small one.
                 pool.width = total
             pool.begin = step * self.me
@@ -867,8 +729,8 @@
         pool.warm_part = 1.0 - len(cold) / len(until) if until else 1.0
 
     def _cold_until(self, server: Server) -> float:
-        started = server.started
-        return started + self.settings.rules.cold_for if started > 0.0 else 0.0
+        started, cold_for = server.started, self.settings.rules.cold_for
+        return started + cold_for if started > 0.0 and cold_for > 0.0 else 0.0
 
     def _present(self, now: float, server: Server) -> float:
         """The size that a server has at least now: a cold one begins at a part of it."""
@@ -1021,7 +883,7 @@
         # Guards what is left of a fleet: it can hold as much a server as before, not what all held together.
         part = self.room_part[kind] * pool.left
         part *= 1.0 - (1.0 - self.settings.over_share_worth) * shrink * over
-        served = pool.served.read(now) / _risen(now - pool.born - self.pooled)
+        served = pool.served.read(now) / risen(now - pool.born - self.pooled)
         due = part * room * served * (self.paced >= SMOOTH)
         spare = max(ROOM_ALWAYS, ROOM_CHANCE * sqrt(due))
         # Guards the start, and what has nearly stopped: from there the room grows with the answers that come.
