The command's own words and asyncio's records go to standard error without waiting for it

Cause: `complain` and the standard library's loggers printed: to a pipe that nobody reads they block the process for good, and to a closed one they raise out of a signal's handler.

Change: both go through `write_at_once`, by a handler of the root logger.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import gc
+import logging
 import os
 import signal
 import socket
@@ -14,7 +15,7 @@
 
 from lugspur.config import Config, ConfigError, load, load_discovery
 from lugspur.discovery import Reader
-from lugspur.events import log
+from lugspur.events import AtOnceHandler, log, write_at_once
 from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
 from lugspur.reload import Reloader
@@ -155,11 +156,12 @@
     """The command's own word on why it can't do what it was told: one plain line, as whoever starts it
     reads.
     """
-    print(f"lugspur: {fault}", file=sys.stderr, flush=True)
+    write_at_once(f"lugspur: {fault}\n".encode(errors="backslashreplace"))
 
 
 def main() -> int:
     """Run with the configuration that the environment names."""
+    logging.basicConfig(handlers=[AtOnceHandler()], level=logging.WARNING)
     try:
         config = load(os.environ)
         log.node, log.muted = config.name, config.muted
--- a/lugspur/events.py
+++ b/lugspur/events.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import logging
 import os
 import select
 import sys
@@ -96,6 +97,18 @@
     return True
 
 
+class AtOnceHandler(logging.Handler):
+    """Records of the standard library's loggers, asyncio's among them, written without waiting."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record; what standard error does not take is dropped."""
+        try:
+            line = self.format(record) + "\n"
+        except Exception:  # Guards whoever logs: a record that can't be formatted must not end its call.
+            return
+        write_at_once(line.encode(errors="backslashreplace"))
+
+
 def renderer(terminal: bool) -> Render:
     """What makes an event a line; for a terminal, one in colours that people read."""
     import structlog
--- a/tests/test_faults_log.py
+++ b/tests/test_faults_log.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import logging
 import os
 import subprocess
 import sys
@@ -29,7 +30,7 @@
 )
 from test_ends import ROOT, answers
 
-from lugspur.events import PIECE, Log
+from lugspur.events import PIECE, AtOnceHandler, Log
 
 
 @pytest.mark.parametrize("error", [errno.EPIPE, errno.ENOSPC, errno.EIO, errno.EAGAIN, errno.EBADF])
@@ -109,3 +110,30 @@
                "assert log.lost == 0")
     done = subprocess.run([sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True)
     assert done.returncode == 0 and len(done.stderr) > 20000 and done.stderr.count("\n") == 1
+
+
+def test_records_of_other_loggers_wait_for_nobody_either(monkeypatch: pytest.MonkeyPatch) -> None:
+    """asyncio's among them; a record that can't be formatted is dropped."""
+    written: list[bytes] = []
+    monkeypatch.setattr("lugspur.events.write_at_once", written.append)
+    logger, handler = logging.getLogger("test of AtOnceHandler"), AtOnceHandler()
+    logger.addHandler(handler)
+    logger.propagate = False
+    try:
+        logger.error("a fault of %s", "ours")
+        logger.error("%d", "no number")
+    finally:
+        logger.removeHandler(handler)
+    assert written == [b"a fault of ours\n"]
+
+
+def test_the_process_logs_through_it_alone() -> None:
+    program = (
+        "import logging, lugspur.__main__ as m; m.main(); "
+        "print([type(h).__name__ for h in logging.getLogger().handlers])"
+    )
+    env = {**os.environ, "RELAY_CONFIG": "/nonexistent"}
+    done = subprocess.run(
+        [sys.executable, "-c", program], cwd=ROOT, env=env, capture_output=True, text=True
+    )
+    assert done.stdout == "['AtOnceHandler']\n" and done.stderr.startswith("lugspur: ")
