--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -48,7 +48,7 @@
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
 NOTICE_EVERY = 0.2  # seconds between looks for the other process's orders: a drain may take 1.5
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves...
-KNOWN_MOST = 3.6  # ...or so many where discovery has accepted the call and may still answer it
+KNOWN_MOST = 4.8  # ...or so many where discovery has accepted the call and may still answer it
 KNOWN_LOOK_EVERY = 0.1  # seconds between looks at which of these it is
 
 
