--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -11,19 +11,21 @@
 from collections.abc import Sequence
 
 from simulation.faults import FAULTS, FLEET, FLEET_PROCESSES, LEAVES, LONG
-from simulation.run import Plan, Verdict, simulate
+from simulation.run import MOST_DELAY, Plan, Verdict, simulate
 
 
 def play(seed: int, names: Sequence[str]) -> Verdict:
     """Play this seed with these faults, one or two of `faults.FAULTS`, `LONG` and `FLEET`."""
     def adjust(plan: Plan) -> None:
         for name in names:
-            if len(names) > 1:
-                plan.most_delay = min(plan.most_delay, LEAVES.get(name, plan.most_delay))
             if name in LONG:
                 plan.duration, plan.rate = 120.0, 5.0
             if name in FLEET:
                 plan.processes, plan.rate = FLEET_PROCESSES, 0.5
 
     known = FAULTS | LONG | FLEET
-    return simulate(seed, names, [known[name] for name in names], adjust)
+    faults = [
+        (known[name], min([LEAVES.get(other, MOST_DELAY) for other in names if other != name] or [MOST_DELAY]))
+        for name in names
+    ]
+    return simulate(seed, names, faults, adjust)
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -1,7 +1,7 @@
 """The faults that a run can be disturbed by, each drawn from the run's seed.
 
 Through a fault of discovery it can still be reached where a caller that holds on would be told in time:
-`Plan.most_delay` bounds what one call may take, and a fault that costs time of its own lowers it for the
+`Run.most_delay` bounds what one call may take, and a fault that costs time of its own lowers it for the
 other of its pair (`LEAVES`). Only `down`, `lost_state`, `half_open` and `sighup_dead` take discovery out of
 reach.
 """
@@ -70,7 +70,7 @@
 def slow(run: Run) -> None:
     """Watches end, and calls are answered only after some seconds."""
     begin = _near_drain(run)
-    most = run.plan.most_delay
+    most = run.most_delay
     delay = run.random.uniform(0.5, most)
     _restyle(run, begin - 0.001, begin + 20.0, lambda process: Style(delay=delay))
     _break_watches(run, begin)
@@ -79,7 +79,7 @@
 def crowded(run: Run) -> None:
     """Watches end, and others' calls are in the queue before those of these processes."""
     begin = _near_drain(run)
-    waits = run.random.uniform(0.5, run.plan.most_delay - 0.5)
+    waits = run.random.uniform(0.5, run.most_delay - 0.5)
 
     def crowd(station: Station) -> None:
         station.service = waits
@@ -92,7 +92,7 @@
 def unavailable(run: Run) -> None:
     """Watches end, and calls are turned away with 503, or reset, for some seconds."""
     begin, rng = _near_drain(run), run.random
-    lasts = rng.uniform(0.3, min(3.0, run.plan.most_delay - 1.0))
+    lasts = rng.uniform(0.3, min(3.0, run.most_delay - 1.0))
     _restyle(run, begin - 0.001, begin + lasts,
              lambda process: rng.choice([Style(unavailable=True), Style(reset=True)]))
     _break_watches(run, begin)
@@ -113,7 +113,7 @@
 def cut(run: Run) -> None:
     """Watches end, and answers are cut short for some seconds."""
     begin, rng = _near_drain(run), run.random
-    lasts = rng.uniform(0.3, min(3.0, run.plan.most_delay - 1.0))
+    lasts = rng.uniform(0.3, min(3.0, run.most_delay - 1.0))
 
     def style(process: str) -> Style:
         return Style(cut_at=rng.random(), cut_resets=rng.random() < 0.5, whole=rng.random() < 0.7)
@@ -133,7 +133,7 @@
 def no_news(run: Run) -> None:
     """Watches end, and so do the next ones: with no news, or after their first message."""
     begin, rng = _near_drain(run), run.random
-    lasts = rng.uniform(0.3, min(3.0, run.plan.most_delay - 1.0))
+    lasts = rng.uniform(0.3, min(3.0, run.most_delay - 1.0))
     _restyle(run, begin - 0.001, begin + lasts,
              lambda process: rng.choice([Style(no_news=True), Style(ends=True, whole=True)]))
     _break_watches(run, begin)
@@ -151,7 +151,7 @@
 def long_list(run: Run) -> None:
     """Watches end, and the whole list takes seconds to arrive."""
     begin, rng = _near_drain(run), run.random
-    takes = rng.uniform(0.5, run.plan.most_delay)
+    takes = rng.uniform(0.5, run.most_delay)
     _restyle(run, begin - 0.001, begin + 20.0, lambda process: Style(whole=True, pieces=50, takes=takes))
     _break_watches(run, begin)
 
@@ -249,7 +249,7 @@
 
 def late_lists(run: Run) -> None:
     """Changes are told to the watches some seconds late."""
-    late = run.random.uniform(0.5, min(3.0, run.plan.most_delay))
+    late = run.random.uniform(0.5, min(3.0, run.most_delay))
 
     def tell_late(station: Station) -> None:
         station.tell_after = late
@@ -268,7 +268,7 @@
 def dial_errors(run: Run) -> None:
     """Watches end, and dials of discovery fail in the process, or never come up, for some seconds."""
     rng = run.random
-    begin, lasts = _near_drain(run), rng.uniform(0.3, min(2.5, run.plan.most_delay - 1.5))
+    begin, lasts = _near_drain(run), rng.uniform(0.3, min(2.5, run.most_delay - 1.5))
     kinds = rng.sample(DIAL_ERRORS, 2)
 
     def fail() -> Dial:
--- a/tests/simulation/link.py
+++ b/tests/simulation/link.py
@@ -43,11 +43,15 @@
 
     def __init__(self, links: dict[int, Link]) -> None:
         self._links = links
-        self._numbers: list[int] = []
+        self._numbers: dict[int, None] = {}
 
-    def register(self, number: int, _: int) -> None:
+    def register(self, socket: SocketStandIn | int, _: int) -> None:
         """Look at this one."""
-        self._numbers.append(number)
+        self._numbers[_number(socket)] = None
+
+    def unregister(self, socket: SocketStandIn | int) -> None:
+        """Look at it no more."""
+        del self._numbers[_number(socket)]
 
     def poll(self, _: int = 0) -> list[tuple[int, int]]:
         """Those that could be read now."""
@@ -55,6 +59,10 @@
                 if number in self._links and self._links[number].transport.unread()]
 
 
+def _number(socket: SocketStandIn | int) -> int:
+    return socket if isinstance(socket, int) else socket.fileno()
+
+
 class Link:
     """One connection between a process and a peer."""
 
--- a/tests/simulation/run.py
+++ b/tests/simulation/run.py
@@ -35,6 +35,7 @@
 FIRST, SECOND, DEAD = ("10.9.0.1", 1), ("10.9.0.2", 1), ("10.9.0.9", 1)  # where discovery is, or nobody
 TIMERS_MOST = 8  # of one process's watch: more would multiply
 OLD_CLOSES_AFTER = 1.5  # seconds after SIGHUP in which the old address closes its connections
+MOST_DELAY = 4.5  # seconds that a call may take where discovery counts as reachable
 QUIET_END = 3.0  # seconds at the end of a run without new requests
 
 
@@ -63,7 +64,6 @@
     timeout: float = 1.0
     dial_timeout: float = 0.25
     drains: list[Drain] = field(default_factory=list)
-    most_delay: float = 4.5  # that a call may take in which discovery counts as reachable
 
     def first_drain(self) -> float:
         """When the first one begins."""
@@ -145,6 +145,7 @@
         self.dial_faults: dict[str, Callable[[], Dial | None]] = {}
         self.raised: list[str] = []
         self.timers: list[str] = []
+        self.most_delay = MOST_DELAY  # that the fault which is put together now may have a call take
         self.holding = False  # the loop's thread stands still
         self.address: Address = FIRST  # in the configuration file
         self.file = folder / "config.json"
@@ -299,8 +300,8 @@
 
     # ---- the play ----------------------------------------------------------------------------
 
-    def play(self, faults: Sequence[Callable[[Run], None]]) -> None:
-        """Play the plan with these faults."""
+    def play(self, faults: Sequence[tuple[Callable[[Run], None], float]]) -> None:
+        """Play the plan with these faults, each with the seconds that it may have a call take."""
         with self._stand_ins():
             self.write_file()
             for _ in range(self.plan.processes):
@@ -309,7 +310,8 @@
                 self.at(drain.at, lambda drain=drain: self.drained(drain))  # type: ignore[misc]
                 if drain.back_at is not None:
                     self.at(drain.back_at, lambda drain=drain: self.returned(drain))  # type: ignore[misc]
-            for fault in faults:
+            for fault, most_delay in faults:
+                self.most_delay = most_delay
                 fault(self)
             self.world.every(0.1, self.end, self._look_at_timers)
             self.loop.run_until_complete(asyncio.sleep(self.plan.duration))
@@ -329,7 +331,7 @@
             with ExitStack() as stack:
                 for patch in (
                     mock.patch("lugspur.proxy.time", self.wall),
-                    mock.patch("lugspur.upstream.select", _Select(self.network)),
+                    *[mock.patch(f"{module}.select", _Select(self.network)) for module in POLLING],
                     mock.patch("lugspur.proxy.log.error", self._logged),
                     mock.patch.dict(os.environ, {"RELAY_CONFIG": str(self.file)}),
                     mock.patch("lugspur.__main__.complain", lambda fault: None),
@@ -399,6 +401,7 @@
 
 
 READY_FD = 3
+POLLING = ("lugspur.upstream", "lugspur.unread")  # modules that ask what lies unread on a connection
 STARVED_AFTER = 8.0
 
 
@@ -429,7 +432,7 @@
 
 
 def simulate(
-    seed: int, names: Sequence[str], faults: Sequence[Callable[[Run], None]],
+    seed: int, names: Sequence[str], faults: Sequence[tuple[Callable[[Run], None], float]],
     adjust: Callable[[Plan], None] = lambda plan: None,
 ) -> Verdict:
     """Play one seed."""
