--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -24,8 +24,8 @@
                 plan.processes, plan.rate = FLEET_PROCESSES, 0.5
 
     known = FAULTS | LONG | FLEET
-    faults = [
-        (known[name], min([LEAVES.get(other, MOST_DELAY) for other in names if other != name] or [MOST_DELAY]))
-        for name in names
-    ]
+    faults = []
+    for name in names:
+        left = [LEAVES.get(other, MOST_DELAY) for other in names if other != name]
+        faults.append((known[name], min(left, default=MOST_DELAY)))
     return simulate(seed, names, faults, adjust)
--- a/tests/simulation/run.py
+++ b/tests/simulation/run.py
@@ -329,9 +329,10 @@
         asyncio_log.disabled = log.muted = True
         try:
             with ExitStack() as stack:
+                for module in POLLING:
+                    stack.enter_context(mock.patch(f"{module}.select", _Select(self.network)))
                 for patch in (
                     mock.patch("lugspur.proxy.time", self.wall),
-                    *[mock.patch(f"{module}.select", _Select(self.network)) for module in POLLING],
                     mock.patch("lugspur.proxy.log.error", self._logged),
                     mock.patch.dict(os.environ, {"RELAY_CONFIG": str(self.file)}),
                     mock.patch("lugspur.__main__.complain", lambda fault: None),
