--- a/lugspur/start_times.py
+++ b/lugspur/start_times.py
@@ -3,7 +3,7 @@
 Discovery tells the start of a server as wall time. This process relates wall time to its own clock once, as
 it starts. Where either clock was wrong then by seconds or an hour, a server that has just started would be
 taken for one that started long ago, and be given its full load while it is cold; or for one that is to start
-in an hour, and be held cold until then. So the age of a start, as it is told, is kept within what is possible.
+in an hour, and be held cold until then. So the age of a start, as it is told, is kept to what is possible.
 """
 
 from __future__ import annotations
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -182,7 +182,8 @@
     book.change(lambda orders: replace(orders, drained=True))
     other = OrderBook(path)
     assert other.refresh() and other.current == Orders(drained=True)
-    assert sorted(os.listdir(tmp_path)) == ["n0.lock", "n0.orders-5"]
+    assert sorted(os.listdir(tmp_path)) == ["n0.lock", "n0.orders-5", "n0.set-aside"]
+    assert (tmp_path / "n0.set-aside").read_bytes() == text
 
 
 @pytest.mark.parametrize(
@@ -276,7 +277,7 @@
 async def disabled(admin: int) -> int:
     """How many backends this process avoids."""
     answer = (await say(admin, "/api/telemetry", method="GET")).decode()
-    return int(answer.partition("proxy.targets_disabled=")[2])
+    return int(answer.partition("proxy.targets_disabled=")[2].partition("\n")[0])
 
 
 def test_a_disk_that_stands_still_does_not_stop_the_proxy(
