--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import Executor, ThreadPoolExecutor
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
@@ -24,6 +24,7 @@
     Repeat,
     Send,
     ServerMemory,
+    State,
     Subscribe,
     TierMemory,
     Timer,
@@ -34,6 +35,7 @@
 from lugspur.events import log
 from lugspur.orders import OrderBook, Orders
 from lugspur.server import Caller, Facts, Front, Rejected, Request
+from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
 
 if TYPE_CHECKING:
@@ -159,6 +161,7 @@
         self._epoch = time.time() - self._loop.time()
         self._balancer = Balancer(config.settings, config.seed)
         self._backends: dict[int, upstream.Backend] = {}
+        self._start_times = StartTimes()
         self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
         self._count = 0
@@ -197,6 +200,7 @@
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
             failed=lambda: self.call_failed(),
         )
+        self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
         self._orders.refresh()
         self._obey(self._orders.current)
@@ -272,7 +276,7 @@
 
     async def _answer_telemetry(self, _: bytes) -> bytes:
         text = self._telemetry.text(self._upstream.dispatches, *self._balancer.targets(self._now()))
-        for part in (self._membership, self._memory, self._shared, self._subset):
+        for part in (self._discovery, self._membership, self._memory, self._shared, self._subset):
             if part is not None:
                 text += "".join(f"{line}\n" for line in part.figures()).encode()
         if self._config.settings.locality is not None:
@@ -354,21 +358,43 @@
             self._loaded()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
-        actions = self._decide(self._balancer.members, kind, [endpoint.row for endpoint in endpoints])
-        listed = {endpoint.row.server for endpoint in endpoints}
-        if kind is not ListKind.PATCH:
-            for server, backend in self._backends.items():
-                if server not in listed:
-                    self._upstream.update(backend, backend.address, backend.started, False)
-        for endpoint in endpoints:
-            row = endpoint.row
-            backend = self._backends.setdefault(row.server, upstream.Backend(endpoint.address))
-            self._upstream.update(
-                backend, endpoint.address, row.started, self._balancer.takes(row.server)
-            )
+        """Apply a message of discovery: first what takes backends out of service, then all else.
+
+        Guards the drains: whatever fails behind the first step, no backend stays in service that is told to
+        drain or is left out.
+        """
+        told = {endpoint.row.server: endpoint for endpoint in endpoints}
+        self._take_out(kind, told)
+        now, live = self._now(), kind is ListKind.PATCH and self._discovery.is_live()
+        rows = [self._start_times.adjust(now, endpoint.row, live) for endpoint in endpoints]
+        actions = self._decide(self._balancer.members, kind, rows)
+        for server in list(told if kind is ListKind.PATCH else {**self._backends, **told}):
+            try:
+                self._follow_list(server, told.get(server))
+            except Exception:
+                log.error("list.fault", member=discovery.server_name(server), exc_info=True)
         self._perform(actions)
         self._rank()
 
+    def _take_out(self, kind: ListKind, told: Mapping[int, discovery.Endpoint]) -> None:
+        for server, backend in self._backends.items():
+            endpoint = told.get(server)
+            gone = endpoint is None and kind is not ListKind.PATCH
+            if gone or (endpoint is not None and endpoint.row.state is not State.UP):
+                backend.in_service = False
+
+    def _follow_list(self, server: int, endpoint: discovery.Endpoint | None) -> None:
+        """Where a backend is, and whether it is in service, as the list now says; None: it is left out."""
+        if endpoint is None:
+            backend = self._backends[server]
+            self._upstream.update(backend, backend.address, backend.started, False)
+            return
+        row = endpoint.row
+        backend = self._backends.setdefault(server, upstream.Backend(endpoint.address))
+        # Guards against a module that could not apply the message and still holds the row before it.
+        takes = row.state is State.UP and self._balancer.takes(server)
+        self._upstream.update(backend, endpoint.address, row.started, takes)
+
     def _rank(self) -> None:
         """Affinity ranks the servers that are in use."""
         if self._affinity is not None:
@@ -495,12 +521,18 @@
 
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
-            if isinstance(action, Timer):
-                self._loop.call_at(action.at - self._epoch, self._timer, action.token)
-            elif isinstance(action, Subscribe):
-                self._discovery.open()
-            else:
-                self._act(action)
+            try:
+                self._carry_out(action)
+            except Exception:  # Guards the actions behind it, and the requests that they are about.
+                log.error("action.fault", reason=type(action).__name__, exc_info=True)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Timer):
+            self._loop.call_at(action.at - self._epoch, self._timer, action.token)
+        elif isinstance(action, Subscribe):
+            self._discovery.open()
+        else:
+            self._act(action)
 
     def _timer(self, token: int) -> None:
         self._perform(self._decide(self._balancer.timer, token))
@@ -527,7 +559,11 @@
             call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
         call.exchanges.append(exchange)
-        self._upstream.start(exchange)
+        try:
+            self._upstream.start(exchange)
+        except Exception:
+            exchange.broke()  # Guards the request: the module waits for how this attempt ends.
+            raise
 
     def pass_on(
         self, call: Call, exchange: upstream.Exchange, response: upstream.Response
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -7,6 +7,7 @@
 import select
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 from itertools import islice
 from typing import Protocol
 
@@ -15,6 +16,7 @@
 from jaspershelf.model import Outcome
 from lugspur.body import HELD_MOST, Body
 from lugspur.config import Address
+from lugspur.unread import Inbox
 
 STALLED = 8.0  # seconds after which a transfer is given up that a backend does not carry on...
 STUCK = 30.0  # ...or for which its caller makes no room: a slow one may empty a full socket in 20
@@ -22,6 +24,7 @@
 STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
 STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
 STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
+NEWS_READS_MOST = 16  # of the loop, that an attempt waits for: they bring the longest message there may be
 READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
@@ -213,20 +216,33 @@
 
     # ---- the request ----------------------------------------------------------------------------
 
-    def send(self, exchange: Exchange, head: bytes) -> None:
-        """Write a request: at once where its body is there, else as it comes."""
-        self.exchange = exchange
-        exchange.connection = self
-        self.written = self._last = False
+    def send(self, exchange: Exchange, head: bytes) -> bool:
+        """Write a request: at once where its body is there, else as it comes.
+
+        False if the socket took none of it: the connection is closed then, and nothing was sent. Guards the
+        drains: what is left in the transport's buffer would go out whenever there is room, whatever the list
+        says by then. Once its first byte is out a request may take its time.
+        """
+        self.written = False
         self._sent = self._upstream.now()
         body = exchange.body.held()
+        self._last = body is not None
+        request = head + body if body is not None else head
+        self._transport.write(request)
+        if self._transport.get_write_buffer_size() >= len(request):
+            self.abandon()
+            return False
+        self.exchange = exchange
+        exchange.connection = self
         if body is None:
-            self._transport.write(head)
             exchange.body.attach(self)
-            return
-        self._last = True
-        self._transport.write(head + body)
-        self._look_out()
+        else:
+            self._look_out()
+        return True
+
+    def is_fresh(self) -> bool:
+        """Whether it has never been idle."""
+        return self.idle_since == 0.0
 
     def write_body(self, data: bytes) -> None:
         """The next bytes of the body."""
@@ -274,9 +290,13 @@
     def quiet(self) -> bool:
         """Whether nothing has come on it that the loop has not read yet: its end, or what nobody asked for.
 
-        Guards what is written to it next: that would be lost, or answered with something else.
+        Guards what is written to it next: that would be lost, or answered with something else. Where the
+        system can't tell, it is not taken for quiet.
         """
-        return not self._poll.poll(0)
+        try:
+            return not self._poll.poll(0)
+        except OSError:
+            return False
 
     def abandon(self) -> None:
         """Close at once, unsent bytes dropped."""
@@ -419,6 +439,7 @@
         self._dialling = 0
         self._connected = 0
         self.dispatches = 0  # attempts whose last byte is out
+        self.news = Inbox()  # what the list may say next
         self._idle: dict[Connection, None] = {}  # the longest idle first
         self._loop.call_later(self._keep / 4.0, self._sweep)
 
@@ -435,15 +456,36 @@
 
     def update(self, backend: Backend, address: Address, started: float, in_service: bool) -> None:
         """What the list says of a backend now."""
+        moved = backend.address != address or backend.started != started
+        backend.address, backend.started, backend.in_service = address, started, in_service
         # Guards against requests on connections to a process or a place that is no more.
-        if backend.address != address or backend.started != started or not in_service:
+        if moved or not in_service:
             for connection in tuple(backend.idle):
                 self._drop(connection)
-        backend.address, backend.started, backend.in_service = address, started, in_service
 
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
         exchange.limit(exchange.until)
+        self._after_news(self._connect, exchange)
+
+    def _after_news(self, step: Callable[..., None], *args: object, reads: int = NEWS_READS_MOST) -> None:
+        """Take a step that acts on the list once the loop has read what lies there of the next one.
+
+        Guards the drains: after a stop of the process, or a long turn of the loop, a timer, an answer or a
+        dial may come up before the news that was there first. A timer that is due runs after the loop's next
+        look at its sockets; `call_soon` would run before what is read in it.
+        """
+        if reads and self.news.unread():
+            self._loop.call_later(0.0, partial(self._after_news, step, *args, reads=reads - 1))
+        else:
+            step(*args)
+
+    def _connect(self, exchange: Exchange) -> None:
+        if not exchange.open:
+            return
+        if not exchange.backend.in_service:  # by news that was waited for: a dial would be in vain
+            self._loop.call_soon(exchange.end, Outcome.VOID)
+            return
         connection = self._idle_connection(exchange)
         if connection is not None:
             self._transmit(exchange, connection)
@@ -486,7 +528,7 @@
         finally:
             self._dialling -= 1
         exchange.dial = None
-        self._transmit(exchange, connection)
+        self._after_news(self._transmit, exchange, connection)
 
     def _transmit(self, exchange: Exchange, connection: Connection) -> None:
         """Write the first byte, if the attempt still may go out."""
@@ -502,7 +544,12 @@
             connection.abandon()
             exchange.end(Outcome.UNREACHABLE)
             return
-        connection.send(exchange, exchange.head(left))
+        if connection.send(exchange, exchange.head(left)):
+            return
+        if connection.is_fresh():
+            exchange.end(Outcome.UNREACHABLE)
+        else:
+            exchange.dial = self._loop.create_task(self._dial(exchange))
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next exchange."""
