--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -6,7 +6,7 @@
 import math
 import time
 from collections.abc import Callable, Mapping
-from concurrent.futures import Executor, ThreadPoolExecutor
+from concurrent.futures import Executor
 from dataclasses import replace
 from typing import TYPE_CHECKING, Protocol
 
@@ -34,6 +34,7 @@
 from lugspur.config import Address, Config
 from lugspur.events import log
 from lugspur.orders import OrderBook, Orders
+from lugspur.scribe import Scribe
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
@@ -154,7 +155,7 @@
         self._config = config
         self._orders = orders or OrderBook(None)
         # Guards the loop: a file's disk may stand still for half a second. One thread keeps orders in order.
-        self._scribe = ThreadPoolExecutor(max_workers=1)
+        self._scribe = Scribe()
         self._memory = memory
         self._loop = asyncio.get_running_loop()
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
@@ -164,6 +165,9 @@
         self._start_times = StartTimes()
         self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
+        self._held: list[Call] = []  # that came before the first list
+        # Where the list is asked for, the one known at the start holds until then.
+        self._holds = config.settings.discovery is Discovery.PUSHED and bool(config.known["endpoints"])
         self._count = 0
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
@@ -198,14 +202,15 @@
         known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
-            failed=lambda: self.call_failed(),
+            failed=self._call_has_failed,
         )
         self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
         self._orders.refresh()
         self._obey(self._orders.current)
-        if config.listen_fd is not None:  # else there is no second process
-            self._noticing = self._loop.create_task(self._notice())
+        self._obeyed = self._orders.current
+        self._noticing: asyncio.Task[None] | None = None
+        self._go_on_noticing()
         if self._memory is not None:
             restored = self._memory.load(len(config.settings.classes))
             self._perform(self._decide(self._balancer.restore, *restored))
@@ -345,6 +350,19 @@
 
     def _loaded(self) -> None:
         self.front.loaded.set()
+        self._admit_held()
+
+    def _call_has_failed(self) -> None:
+        """Where discovery is down the list known at the start serves the requests that are here already."""
+        if not self._discovery.may_answer():
+            self._admit_held()
+        self.call_failed()
+
+    def _admit_held(self) -> None:
+        self._holds = False
+        held, self._held = self._held, []
+        for call in held:
+            self._admit(call)
 
     def _serve_by_known(self, latest: float) -> None:
         """Serve by the list known at the start, at the latest at this time of the loop.
@@ -426,19 +444,31 @@
             takes = self._balancer.takes(server)
             self._upstream.update(backend, backend.address, backend.started, takes)
 
+    def _go_on_noticing(self) -> None:
+        """Look for orders as long as there may be some: of a second process, or not yet read."""
+        if self._noticing is None or self._noticing.done():
+            self._noticing = self._loop.create_task(self._notice())
+
     async def _notice(self) -> None:
-        while True:
+        while self._config.listen_fd is not None or self._orders.pending:
             await asyncio.sleep(NOTICE_EVERY)
-            if await self._loop.run_in_executor(self._scribe, self._orders.refresh):
-                self._obey(self._orders.current)
+            try:
+                await self._loop.run_in_executor(self._scribe, self._orders.refresh)
+                if self._orders.current != self._obeyed:
+                    self._obey(self._orders.current)
+                    self._obeyed = self._orders.current
+            except Exception:  # Guards later orders: a look that fails is made again.
+                log.error("orders.look", exc_info=True)
 
     async def _order(self, edit: Callable[[Orders], Orders]) -> None:
         """Keep an order, so that a second process obeys it too, and obey it."""
         try:
             orders = await self._loop.run_in_executor(self._scribe, self._orders.change, edit)
         except OSError as fault:
+            self._go_on_noticing()
             raise Rejected(503, f"the order can't be kept: {fault.strerror}") from fault
         self._obey(orders)
+        self._obeyed = orders
 
     # ---- requests ------------------------------------------------------------------------------
 
@@ -453,6 +483,18 @@
         else:
             request.body.arrived = lambda: self._arrived(call)
             request.body.let_go = lambda: self._perform(self._decide(self._balancer.bind, call.rid))
+        if self._holds:
+            # Guards against servers that were drained or removed while no process ran: the list is coming.
+            self._held.append(call)
+        else:
+            self._admit(call)
+
+    def _admit(self, call: Call) -> None:
+        """Give a request to the module, unless its client has left or its time is up."""
+        if call.caller is None:
+            return
+        request, facts = call.request, call.facts
+        whole = request.body.whole
         until = call.deadline if whole else self._loop.time() + facts.timeout
         self._perform(self._decide(
             self._balancer.request, call.rid, facts.kind, facts.tenant, until + self._epoch, facts.cost,
