--- a/lugspur/lab/load.py
+++ b/lugspur/lab/load.py
@@ -91,6 +91,8 @@
 
     async def _exchange(self, proxy: int, request: bytes) -> tuple[int, bytes]:
         idle = self._idle[proxy]
+        while idle and idle[-1][0].at_eof():  # closed by the proxy, or by its end
+            idle.pop()[1].transport.abort()
         reader, writer = idle.pop() if idle else await asyncio.open_connection(*self._proxies[proxy])
         kept = False
         try:
