--- a/lugspur/lab/arrivals.py
+++ b/lugspur/lab/arrivals.py
@@ -151,7 +151,7 @@
 
 
 async def offer(plan: Plan) -> list[Outcome]:
-    """The load. Requests that are due while this process is held up, or whose proxy owes many, are left out."""
+    """The load. What is due while this process is held up, or while its proxy owes many, is left out."""
     load = Load([(host, port) for host, port in plan.proxies])
     owed = [0] * len(plan.proxies)
     begun = time.monotonic()
--- a/tests/cluster/test_drain_fleet.py
+++ b/tests/cluster/test_drain_fleet.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 import drain_rule
-from drain_fleet import GRACE, SERVERS, Stage
+from drain_fleet import GRACE
+from drain_stage import SERVERS, Stage
 
 from lugspur.lab.fleet import LOOK_EVERY, PATIENCE, Fleet
 from lugspur.lab.load import Load, outcomes
