After a stop the sockets are read before what is due: no attempt for a client that left meanwhile

The system call that waits is interrupted at SIGCONT and brings nothing, as its time is over. A retry that was due was then sent for a client whose end lay unread, long after the 0.1 s that are allowed.

An attempt that comes up over 50 ms after the loop's last look waits for one more, once.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -15,6 +15,7 @@
 
 from lugspur.config import Config, ConfigError, load, load_discovery
 from lugspur.discovery import Reader
+from lugspur.event_loop import EventLoop
 from lugspur.events import AtOnceHandler, log, write_at_once
 from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
@@ -170,7 +171,8 @@
         complain(fault)
         return 2
     try:
-        asyncio.run(serve(config))
+        with asyncio.Runner(loop_factory=EventLoop) as runner:
+            runner.run(serve(config))
     except OSError as fault:
         complain(fault)
         return 1
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -17,6 +17,7 @@
 from jaspershelf.model import Outcome
 from lugspur.body import HELD_MOST, Body
 from lugspur.config import Address
+from lugspur.event_loop import EventLoop
 from lugspur.unread import Inbox
 
 STALLED = 8.0  # seconds after which a transfer is given up that a backend does not carry on...
@@ -478,11 +479,16 @@
         dial may come up before the news that was there first. A timer that is due runs after the loop's next
         look at its sockets; `call_soon` would run before what is read in it.
         """
-        if reads and self.news.unread():
+        first = reads == NEWS_READS_MOST  # one look reads what clients had sent by then
+        if reads and (self.news.unread() or (first and self._is_late())):
             self._loop.call_later(0.0, partial(self._after_news, step, *args, reads=reads - 1))
         else:
             step(*args)
 
+    def _is_late(self) -> bool:
+        """Whether a client's end may lie unread: guards requests whose client has left, as for the news."""
+        return isinstance(self._loop, EventLoop) and self._loop.is_late()
+
     def _connect(self, exchange: Exchange) -> None:
         if not exchange.open:
             return
