Accepting goes on 0.1 s after any fault, and epoll that refuses is asked again

Causes: asyncio's listener raises out of its callback for any errno it does not list (EPROTO, EPERM, EIO): over 2,000 tracebacks a second in a busy loop; for EMFILE and its like it complained eight times a second, without bound; an aborted connection at the head of the queue ended the taking at SIGTERM, and what waited behind it was reset. A reader that epoll refuses (ENOMEM, ENOSPC) is added in a callback of asyncio's own: the connection stayed open and unheard, its request lost.

--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -15,6 +15,7 @@
 from lugspur.config import Config, ConfigError, load, load_discovery
 from lugspur.discovery import Reader
 from lugspur.events import log
+from lugspur.loop import run
 from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
 from lugspur.reload import Reloader
@@ -168,7 +169,7 @@
         complain(fault)
         return 2
     try:
-        asyncio.run(serve(config))
+        run(serve(config))
     except OSError as fault:
         complain(fault)
         return 1
--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -10,8 +10,9 @@
 
 import httptools
 
+from lugspur.accept import Acceptor
 from lugspur.events import log
-from lugspur.server import ACCEPTS, LINGER, Rejected, listening_socket, path_of
+from lugspur.server import LINGER, Rejected, listening_socket, path_of
 
 ADMIN_SOCKETS = 16  # callers at a time, of the spare descriptors: the next one takes the oldest one's place
 CALL_WITHIN = 2.0  # seconds for a whole call: silent callers stay for 4 if they may
@@ -38,16 +39,13 @@
     async def listen(self, address: tuple[str, int]) -> socket.socket:
         """Serve on this address."""
         sock = listening_socket(address)
-        server = await asyncio.get_running_loop().create_server(
-            lambda: _Call(self), sock=sock, backlog=ACCEPTS
-        )
         sock.listen(WAITING)
-        self._server = server
+        self._acceptor = Acceptor(sock, lambda: _Call(self))
         return sock
 
     def close(self) -> None:
         """Stop listening; calls that are being answered go on."""
-        self._server.close()
+        self._acceptor.close()
 
     async def finish(self) -> None:
         """Stop listening, and let the calls that are being answered have their answers, within FINISH."""
--- /dev/null
+++ b/lugspur/loop.py
@@ -0,0 +1,113 @@
+"""The event loop of the proxy: asyncio's, made to go on after faults of epoll and of callbacks."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import selectors
+from collections.abc import Coroutine
+from typing import Any
+
+from lugspur.events import log
+
+LATE_LOOK = 0.05  # seconds between tries to have epoll wait for what it has refused
+REFUSALS = frozenset({errno.ENOMEM, errno.ENOSPC})  # of `epoll_ctl`: memory, or a user's limit on watches
+
+
+class SteadySelector(selectors.EpollSelector):
+    """Epoll that tries again to wait for what it refused for want of memory or watches.
+
+    Guards connections: asyncio adds their readers in callbacks of its own, where a refusal leaves them open
+    and unheard for good.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._late: dict[int, selectors.SelectorKey] = {}  # by descriptor: registered, and not with epoll
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        """Wait for these events, at once or a little later."""
+        if self._late and self._descriptor(fileobj) in self._late:
+            raise KeyError(f"{fileobj!r} is already registered")
+        try:
+            return super().register(fileobj, events, data)
+        except OSError as fault:
+            if fault.errno not in REFUSALS:
+                raise
+        return self._put_off(fileobj, events, data)
+
+    def modify(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:
+        """Wait for other events of it, at once or a little later."""
+        if self._late and self._descriptor(fileobj) in self._late:
+            return self._put_off(fileobj, events, data)
+        try:
+            return super().modify(fileobj, events, data)
+        except OSError as fault:
+            if fault.errno not in REFUSALS:
+                raise
+        # The failed call has forgotten the key, but epoll still knows the descriptor by its old events.
+        self._selector.unregister(self._descriptor(fileobj))  # type: ignore[attr-defined]
+        return self._put_off(fileobj, events, data)
+
+    def unregister(self, fileobj: Any) -> selectors.SelectorKey:
+        """Wait for it no more."""
+        if self._late:
+            key = self._late.pop(self._descriptor(fileobj), None)
+            if key is not None:
+                return key
+        return super().unregister(fileobj)
+
+    def get_key(self, fileobj: Any) -> selectors.SelectorKey:
+        """How it is registered."""
+        if self._late:
+            key = self._late.get(self._descriptor(fileobj))
+            if key is not None:
+                return key
+        return super().get_key(fileobj)
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Wait; while something is late, not for long."""
+        if self._late:
+            self._catch_up()
+        if self._late:
+            timeout = LATE_LOOK if timeout is None else min(timeout, LATE_LOOK)
+        return super().select(timeout)
+
+    def _put_off(self, fileobj: Any, events: int, data: Any) -> selectors.SelectorKey:
+        descriptor = self._descriptor(fileobj)
+        key = selectors.SelectorKey(fileobj, descriptor, events, data)
+        self._late[descriptor] = key
+        return key
+
+    def _catch_up(self) -> None:
+        for descriptor, key in tuple(self._late.items()):
+            try:
+                super().register(key.fileobj, key.events, key.data)
+            except OSError as fault:
+                if fault.errno in REFUSALS:
+                    return
+                log.warning("loop.fault", error=str(fault.strerror))
+            del self._late[descriptor]
+
+    @staticmethod
+    def _descriptor(fileobj: Any) -> int:
+        return fileobj if isinstance(fileobj, int) else int(fileobj.fileno())
+
+
+def make_loop() -> asyncio.SelectorEventLoop:
+    """A loop on such a selector, whose own complaints are lines of the log."""
+    loop = asyncio.SelectorEventLoop(SteadySelector())
+    loop.set_exception_handler(_complain)
+    return loop
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """As `asyncio.run`, on such a loop."""
+    with asyncio.Runner(loop_factory=make_loop) as runner:
+        runner.run(main)
+
+
+def _complain(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """A callback or a task has failed: one line of the log, whose repeats are bounded."""
+    fault = context.get("exception")
+    log.error("loop.fault", reason=str(context["message"])[:200], error=repr(fault)[:200], exc_info=fault)
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -15,6 +15,7 @@
 import httptools
 
 from jaspershelf.model import Repeat
+from lugspur.accept import Acceptor
 from lugspur.body import BODY_MOST, HELD_MOST, Body
 from lugspur.config import Address, Config
 from lugspur.telemetry import Telemetry
@@ -32,7 +33,6 @@
 # Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
 # be left, nor a request of the last 2 s, and closing one early crosses more requests.
 IDLE_AFTER_DRAIN = 1.6
-ACCEPTS = 8  # taken in one go: with no descriptor left the loop complains once for each, every second
 TIME = re.compile(rb"\d{1,9}(\.\d+)?")
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
 NAMED = frozenset(
@@ -179,30 +179,20 @@
 
     async def listen(self) -> socket.socket:
         """Serve on the given address alone, by the platform's own socket where it holds one."""
-        loop = asyncio.get_running_loop()
         given = self.config.listen_fd
         sock = listening_socket(self.config.listen) if given is None else inherited_socket(given)
-        self._server = await loop.create_server(lambda: Caller(self), sock=sock, backlog=ACCEPTS)
         sock.listen(BACKLOG)
+        self._acceptor = Acceptor(sock, lambda: Caller(self))
         self.serving = True
         return sock
 
     async def stop_listening(self, sock: socket.socket) -> None:
         """Take what the accept queue holds, then close the listener: closing it resets what is queued."""
-        loop = asyncio.get_running_loop()
-        loop.remove_reader(sock.fileno())
-        while True:
-            try:
-                accepted, _ = sock.accept()
-            except OSError:
-                break
-            accepted.setblocking(False)
-            await loop.connect_accepted_socket(lambda: Caller(self), accepted)
-        self._server.close()
+        await self._acceptor.drain()
 
     def leave_listener(self) -> None:
         """Accept nothing more; the queue is the other process's, and only the own descriptor is closed."""
-        self._server.close()
+        self._acceptor.close()
 
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
--- a/tests/faults/calls.py
+++ b/tests/faults/calls.py
@@ -68,6 +68,8 @@
 
     def place(self, descriptor: int) -> Place:
         """Where the connection with this descriptor goes."""
+        if descriptor < 0:
+            return Place()
         try:
             sock = _socket.socket(fileno=descriptor)
         except OSError:
@@ -153,6 +155,9 @@
                 self._descriptor = descriptor
                 self._poll.register(descriptor, events)
 
+            def unregister(self, descriptor: int) -> None:
+                self._poll.unregister(descriptor)
+
             def poll(self, timeout: float | None = None) -> Any:
                 injector.strike("poll", injector.place(self._descriptor))
                 return self._poll.poll(timeout)
