Log: an event is written though structlog can't be loaded

Cause: it loads with the first line, which failed where the first line told of descriptors used up; the exception went out of what reported it. A plain line is written then. Test: failed before, as did the descriptors' test.

--- a/lugspur/events.py
+++ b/lugspur/events.py
@@ -17,6 +17,8 @@
 from contextlib import suppress
 from typing import Any
 
+import orjson
+
 MOST = 20  # lines of one event and subject...
 SPAN = 10.0  # ...in so many seconds
 SUBJECTS = ("member", "file", "reason", "error")  # the fields that tell one repeat from another
@@ -67,12 +69,29 @@
         count[1] += 1
         if self.node:
             fields.setdefault("node", self.node)
-        if self._render is None:
-            self._render = renderer(sys.stderr is not None and sys.stderr.isatty())
-        line = self._render(level, {"event": event, **fields}) + "\n"
+        line = self._line(level, {"event": event, **fields}) + "\n"
         if not write_at_once(line.encode(errors="backslashreplace")):
             self.lost += 1
 
+    def _line(self, level: str, fields: dict[str, Any]) -> str:
+        """The event as its line; a plain one where structlog can't be loaded or fails."""
+        at_hand = sys.exc_info()[1]
+        try:
+            if self._render is None:
+                self._render = renderer(sys.stderr is not None and sys.stderr.isatty())
+            return self._render(level, dict(fields))
+        except Exception:  # Guards whoever reports: with no descriptor left nothing can be imported
+            return plain_line(level, fields, at_hand)
+
+
+def plain_line(level: str, fields: dict[str, Any], at_hand: BaseException | None) -> str:
+    """An event as JSON, made with what is loaded already."""
+    fault = fields.pop("exc_info", None)
+    if fault:
+        fields["exception"] = repr(at_hand if fault is True else fault)
+    now = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime())
+    return orjson.dumps({**fields, "level": level, "timestamp": now}, default=repr).decode()
+
 
 def write_at_once(data: bytes) -> bool:
     """Write to standard error without waiting for it; False where it did not take all."""
--- a/tests/test_faults_log.py
+++ b/tests/test_faults_log.py
@@ -104,6 +104,20 @@
     asyncio.run(play())
 
 
+def test_an_event_is_written_though_nothing_can_be_imported(
+    monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
+) -> None:
+    """With no descriptor left, say."""
+    monkeypatch.setitem(sys.modules, "structlog", None)
+    log = Log()
+    try:
+        raise ValueError("found by a test")
+    except ValueError:
+        log.error("module.fault", exc_info=True, member="n1", other=Path("/p"))
+    written = capfd.readouterr().err
+    assert written.count("\n") == 1 and "found by a test" in written and '"event":"module.fault"' in written
+
+
 def test_standard_error_that_works_takes_long_lines_whole() -> None:
     program = ("from lugspur.events import log\nlog.info('event', text='x' * 20000)\n"
                "assert log.lost == 0")
