State directory: ages by the monotonic clock, and nothing lost to calls that fail for a while

Causes: ages were differences of wall time, so a step of over 60 s between two processes made an orders file one 'of the future' and its bans were forgotten, and made state too young, too old or set aside. What failed to be written left the incarnation and the tier marked as told. The log was buffered: what a write had refused was written by its close. A batch that could not be packed, or a thread not started, ended the keeping for good; files that failed at the end made the process end with 1. Now: files name the boot and the writer's epoch, and ages in one boot are counted by the monotonic clock (orders of the future hold); the writer begins only once it has read all, ten tries at the most; torn, empty and huge files are set aside as those of other versions were. test_recovery: its stand-in for Path.open takes any arguments, as the log is opened unbuffered.

--- a/lugspur/cli.py
+++ b/lugspur/cli.py
@@ -7,7 +7,6 @@
 import os
 import signal
 import sys
-import time
 from collections.abc import Sequence
 from pathlib import Path
 from urllib.parse import unquote
@@ -74,10 +73,12 @@
     from lugspur.store import frames
     from lugspur.store.files import read_state
     from lugspur.store.keeper import AGES
+    from lugspur.store.times import Timeline
 
     if not chosen.folder.is_dir():
         raise ConfigError(f"{chosen.folder} is no folder")
-    now, bad = time.time(), 0
+    times = Timeline.here()
+    now, bad = times.now(), 0
     for folder in sorted(path for path in chosen.folder.iterdir() if path.is_dir()):
         name = unquote(folder.name)
         print(f"{name}:")
@@ -89,7 +90,7 @@
             bad += bool(contents.fault)
             print(f"  {path.name}: {contents.fault or 'valid'}, {len(contents.records)} records, "
                   f"{path.stat().st_size} bytes")
-        found = read_state(folder, name, now, lambda *_: None)
+        found = read_state(folder, name, now, lambda *_: None, times)
         for kind, most in AGES.items():
             ages = [now - entry.at for (each, _), entry in found.items() if each == kind]
             young = sum(abs(age) <= most for age in ages)
--- a/lugspur/store/bans.py
+++ b/lugspur/store/bans.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import time
 from pathlib import Path
 
 from lugspur.orders import OrderBook, Orders, encode, parse_orders
 from lugspur.store import frames
 from lugspur.store.files import write_whole
+from lugspur.store.times import Timeline
 
 AGE_MOST = 30 * 86400.0  # seconds after which an order is ignored at a start: nobody remembers giving it
 
@@ -16,7 +16,8 @@
     """The orders' book of a proxy with a state directory.
 
     Each text is a framed file put in place whole, synced with its folder; the one before is kept and holds
-    where the newest does not check. Orders older than AGE_MOST are passed over.
+    where the newest does not check. Orders older than AGE_MOST are passed over; those that seem to be of the
+    future hold, as their age can't be told.
     """
 
     kept = 2
@@ -25,20 +26,20 @@
         folder.mkdir(parents=True, exist_ok=True)
         super().__init__(folder / "bans.orders")
         self._name = name
-        self._start = time.time()
+        self._times = Timeline.here()
+        self._start = self._times.now()
 
     def _read(self, path: Path) -> Orders:
-        now = time.time()
-        contents = frames.parse(frames.read_bytes(path), "orders", self._name, now)
-        if contents.fault or len(contents.records) != 1:
+        contents = frames.parse(frames.read_bytes(path), "orders", self._name, self._times.now())
+        if contents.header is None or contents.fault or len(contents.records) != 1:
             raise ValueError(f"the orders do not check: {contents.fault or 'records'}")
         at, text = contents.records[0]
         if not isinstance(at, float) or not isinstance(text, bytes):
             raise ValueError("the orders are of no known form")
-        if now - at > AGE_MOST:
+        if self._times.age(contents.header.times, at) > AGE_MOST:
             raise ValueError("the orders are too old")
         return parse_orders(text)
 
     def _put(self, path: Path, orders: Orders) -> None:
-        header = frames.Header("orders", self._name, self._start, 1)
-        write_whole(path, [header.payload(), [time.time(), encode(orders)]])
+        header = frames.Header("orders", self._name, self._start, 1, self._times)
+        write_whole(path, [header.payload(), [self._times.now(), encode(orders)]])
--- a/lugspur/store/files.py
+++ b/lugspur/store/files.py
@@ -13,15 +13,19 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 from collections.abc import Callable, Iterable, Iterator
+from contextlib import suppress
 from dataclasses import dataclass
+from io import FileIO
 from pathlib import Path
-from typing import Any, BinaryIO
+from typing import IO, Any, BinaryIO
 from urllib.parse import quote
 
 from lugspur.store import frames
+from lugspur.store.times import Timeline
 
 LOG_MOST = 1 << 20  # bytes of a log after which a new generation begins
 ENTRIES_MOST = 20_000  # entries of a kind: the newest are kept
@@ -29,6 +33,9 @@
 SNAPSHOT_PART = 1_000  # entries in one record of a snapshot
 DISK_MOST = 24 << 20  # bytes of the directory: two snapshots and logs, one being written, one set aside
 END = "end"  # a snapshot's last record
+# What is wrong with files that are put out of the way; a log that is torn holds good batches up to there.
+CLAIMS_STRICT = 10  # tries to become the writer in which all that lies there has to be read
+SET_ASIDE = frozenset({"version", "future", "foreign", "empty", "huge"})
 
 Key = tuple[str, str]  # kind and key
 Fault = Callable[[str, str], None]  # told of each file that was not as expected: its name, the word for it
@@ -75,9 +82,9 @@
     return size
 
 
-def apply(state: State, batch: Any) -> None:
+def apply(state: State, batch: Any, shift: float = 0.0) -> None:
     """Take up one batch: rows of kind, key, time and value; no value takes the entry out. ValueError if
-    it is none.
+    it is none. `shift` turns its times into the reader's.
     """
     if not isinstance(batch, list):
         raise ValueError("a batch is a list")
@@ -91,18 +98,23 @@
         if value is None:
             state.pop((kind, key), None)
         else:
-            state[kind, key] = Entry(at, value)
+            state[kind, key] = Entry(at + shift, value)
 
 
 class Store:
     """One process's hold on its state directory: read first, then written by whoever has the lock."""
 
-    def __init__(self, folder: Path, name: str, start: float, fault: Fault) -> None:
+    def __init__(
+        self, folder: Path, name: str, start: float, fault: Fault, times: Timeline = frames.UNKNOWN
+    ) -> None:
+        """`times` is what the times of entries are counted by."""
         self._folder, self._name, self._start, self._fault = folder, name, start, fault
+        self._times = times
         self._lock: BinaryIO | None = None
-        self._log: BinaryIO | None = None
+        self._log: FileIO | None = None  # unbuffered: what a write has refused is not tried again by a close
         self._size = 0  # of the log
         self._generation = 0
+        self._claims = 0  # tries to become the writer that failed
         self.state: State = {}
         self.synced = 0  # batches that are on the disk for good
 
@@ -113,7 +125,7 @@
 
     def load(self, now: float) -> State:
         """Read what there is; whatever does not check is told once and passed over."""
-        self.state = read_state(self._folder, self._name, now, self._fault)
+        self.state = read_state(self._folder, self._name, now, self._fault, self._times)
         return self.state
 
     def claim(self, now: float) -> bool:
@@ -130,15 +142,40 @@
             lock.close()
             return False
         self._lock = lock
-        self.load(now)
-        for kind, number in list(_numbered(self._folder)):
+        try:
+            self._begin(now)
+        except OSError:
+            self._claims += 1
+            self.close()
+            raise
+        return True
+
+    def _begin(self, now: float) -> None:
+        """Read, set aside what does not check, and begin a generation after all that were there.
+
+        Guards what lies there: a writer that has not read all of it would put less in its place. What can't
+        be read for long is given up.
+        """
+        found = list(_numbered(self._folder))
+        self._generation = max((number for _, number in found), default=0)
+        unreadable: list[str] = []
+
+        def told(file: str, word: str) -> None:
+            if word == "unreadable":
+                unreadable.append(file)
+            self._fault(file, word)
+
+        state = read_state(self._folder, self._name, now, told, self._times)
+        if unreadable and self._claims < CLAIMS_STRICT:
+            raise OSError(errno.EIO, f"{unreadable[0]} can't be read")
+        self.state = state
+        for kind, number in found:
             path = self._folder / f"{kind}-{number}"
-            contents = frames.read(path, kind, self._name, now)
-            if contents.fault in ("version", "future", "foreign"):
-                os.replace(path, self._folder / "set-aside")  # the last one alone: the room is bounded
-        self._generation = max((number for _, number in _numbered(self._folder)), default=0)
+            word = frames.read(path, kind, self._name, now).fault
+            if word in SET_ASIDE or (kind == "snapshot" and word in ("torn", "checksum")):
+                with suppress(OSError):  # it is passed over all the same
+                    os.replace(path, self._folder / "set-aside")  # the last one alone: the room is bounded
         self.compact()
-        return True
 
     def append(self, batch: list[tuple[str, str, float, Any]]) -> None:
         """Add a batch of changes, all of them or none; it is on the disk for good when this returns.
@@ -151,11 +188,14 @@
         assert self._log is not None
         data = frames.pack([list(row) for row in batch])
         try:
-            self._log.write(data)
-            self._log.flush()
+            left = memoryview(data)
+            while left:
+                left = left[self._log.write(left):]
             os.fsync(self._log.fileno())
         except OSError:
-            self._log = None  # Guards the log's order: nothing may follow what is perhaps half there.
+            # Guards the log's order: nothing may follow what is perhaps half there, or is never on the disk.
+            log, self._log = self._log, None
+            _close(log)
             raise
         self._size += len(data)
         apply(self.state, batch)
@@ -167,15 +207,14 @@
         number = self._generation + 1
         rows = [[kind, key, entry.at, entry.value] for (kind, key), entry in self.state.items()]
         parts = [rows[at:at + SNAPSHOT_PART] for at in range(0, len(rows), SNAPSHOT_PART)]
-        header = frames.Header("snapshot", self._name, self._start, number)
+        header = frames.Header("snapshot", self._name, self._start, number, self._times)
         write_whole(self._folder / f"snapshot-{number}", [header.payload(), *parts, END])
-        if self._log is not None:
-            self._log.close()
-            self._log = None
-        header = frames.Header("log", self._name, self._start, number)
+        _close(self._log)
+        self._log = None
+        header = frames.Header("log", self._name, self._start, number, self._times)
         path = self._folder / f"log-{number}"
         self._size = write_whole(path, [header.payload()])
-        self._log = path.open("ab")
+        self._log = path.open("ab", buffering=0)
         self._generation = number
         for kind, old in list(_numbered(self._folder)):
             if old <= number - KEPT:
@@ -192,12 +231,18 @@
 
     def close(self) -> None:
         """Let go of the files and of the lock."""
-        for file in (self._log, self._lock):
-            if file is not None:
-                file.close()
+        _close(self._log)
+        _close(self._lock)
         self._log = self._lock = None
 
 
+def _close(file: IO[bytes] | FileIO | None) -> None:
+    """Close it; what it says then is of no matter, as all that counts was synced before."""
+    if file is not None:
+        with suppress(OSError):
+            file.close()
+
+
 def _numbered(folder: Path) -> Iterator[tuple[str, int]]:
     """The kinds and numbers of the files that lie there."""
     for name in os.listdir(folder):
@@ -206,18 +251,23 @@
             yield kind, int(number)
 
 
-def read_state(folder: Path, name: str, now: float, fault: Fault) -> State:
+def read_state(
+    folder: Path, name: str, now: float, fault: Fault, times: Timeline = frames.UNKNOWN
+) -> State:
     """The state that this directory holds for this process; an empty one where none checks. Writes
     nothing.
     """
     try:
         numbers = list(_numbered(folder))
+    except (FileNotFoundError, NotADirectoryError):
+        return {}
     except OSError:
+        fault(folder.name, "unreadable")
         return {}
     state: State = {}
     begin = None
     for number in sorted((n for kind, n in numbers if kind == "snapshot"), reverse=True):
-        found, word = _snapshot(folder, name, number, now)
+        found, word = _snapshot(folder, name, number, now, times)
         if not word:
             state, begin = found, number
             break
@@ -228,7 +278,7 @@
         word = contents.fault
         for batch in contents.records:
             try:
-                apply(state, batch)
+                apply(state, batch, _shift(contents, times))
             except (ValueError, TypeError):
                 word = "checksum"
                 break
@@ -238,7 +288,9 @@
     return state
 
 
-def _snapshot(folder: Path, name: str, number: int, now: float) -> tuple[State, str]:
+def _snapshot(
+    folder: Path, name: str, number: int, now: float, times: Timeline
+) -> tuple[State, str]:
     """A snapshot's state, or the word for what is wrong with it."""
     contents = frames.read(folder / f"snapshot-{number}", "snapshot", name, now)
     state: State = {}
@@ -248,7 +300,11 @@
         return {}, "torn"
     try:
         for part in contents.records[:-1]:
-            apply(state, part)
+            apply(state, part, _shift(contents, times))
     except (ValueError, TypeError):
         return {}, "checksum"
     return state, ""
+
+
+def _shift(contents: frames.Contents, times: Timeline) -> float:
+    return times.shift(contents.header.times) if contents.header is not None else 0.0
--- a/lugspur/store/frames.py
+++ b/lugspur/store/frames.py
@@ -3,12 +3,14 @@
 File: records one after another. Record: length of the payload (4 bytes), XXH64 of the payload with the
 length as its seed (8 bytes), both little-endian (xxhash.com's specification), payload (MessagePack). The
 first record is the header: `{"format": NAME, "version": VERSION, "kind": kind, "name": process's name,
-"start": Unix seconds, "generation": number}`. As in the logs of LevelDB and RocksDB, whatever does not
-check ends the file there: what comes out is a prefix of what was written.
+"start": Unix seconds, "generation": number, "boot": which start of the machine, "epoch": Unix seconds at the
+zero of its monotonic clock}`; older files have not the last two. As in the logs of LevelDB and RocksDB,
+whatever does not check ends the file there: what comes out is a prefix of what was written.
 """
 
 from __future__ import annotations
 
+import math
 import struct
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -17,12 +19,15 @@
 import msgpack  # type: ignore[import-untyped]
 import xxhash
 
+from lugspur.store.times import Timeline, boot_id
+
 FORMAT = "sloewheel-state"
 VERSION = 1
 HEAD = struct.Struct("<IQ")
 RECORD_MOST = 8 << 20  # bytes of one payload
 FILE_MOST = 16 << 20  # bytes of one file: nothing we write is larger
 AHEAD_MOST = 60.0  # seconds by which a file's start may lie in the future: clocks are set now and then
+UNKNOWN = Timeline("", 0.0)
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,11 +38,13 @@
     name: str
     start: float  # of the process that wrote it, Unix seconds
     generation: int
+    times: Timeline = UNKNOWN  # by which its times are counted
 
     def payload(self) -> dict[str, Any]:
         """The header as the first record."""
         return {"format": FORMAT, "version": VERSION, "kind": self.kind, "name": self.name,
-                "start": self.start, "generation": self.generation}
+                "start": self.start, "generation": self.generation,
+                "boot": self.times.boot, "epoch": self.times.epoch}
 
 
 @dataclass(slots=True)
@@ -99,9 +106,22 @@
     if (head.get("kind"), head.get("name")) != (kind, name) or not isinstance(start, float) or type(
             generation) is not int:
         return Contents(fault="foreign")
-    if not start <= now + AHEAD_MOST:  # Guards against a file of tomorrow, and a start that is no number.
+    times = _times(head)
+    if not math.isfinite(start):
+        return Contents(fault="foreign")
+    # Guards against a file of tomorrow. One of this boot is none: its times are counted by a clock that is
+    # never set. Nor are orders: those hold until they are taken back, whatever the clock says.
+    if start > now + AHEAD_MOST and kind != "orders" and not (times.boot and times.boot == boot_id()):
         return Contents(fault="future")
-    return Contents(Header(kind, name, start, generation), values[1:], fault, good)
+    return Contents(Header(kind, name, start, generation, times), values[1:], fault, good)
+
+
+def _times(head: dict[str, Any]) -> Timeline:
+    """How the writer counted; files of older versions do not say."""
+    boot, epoch = head.get("boot", ""), head.get("epoch", 0.0)
+    if not isinstance(boot, str) or not isinstance(epoch, float) or not math.isfinite(epoch):
+        return UNKNOWN
+    return Timeline(boot, epoch)
 
 
 def _records(data: bytes) -> tuple[list[Any], int, str]:
--- a/lugspur/store/keeper.py
+++ b/lugspur/store/keeper.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 from concurrent.futures import Executor
 from pathlib import Path
@@ -22,10 +21,12 @@
 from lugspur.discovery import server_id, server_name
 from lugspur.events import log
 from lugspur.store.files import State, Store, directory_for
+from lugspur.store.times import Timeline
 
 Row = tuple[str, str, float, Any]  # kind, key, time and value
 
 KEEP_EVERY = 1.0  # seconds between batches: what a crash may lose
+NEVER_TOLD = -1  # no incarnation
 AGES = {"server": 120.0, "tier": 120.0, "incarnation": 30 * 86400.0}
 
 
@@ -35,7 +36,10 @@
     def __init__(self, state_dir: Path, name: str) -> None:
         self._name = name
         self._scribe: Executor | None = None
-        self._store = Store(directory_for(state_dir, name), name, time.time(), self._fault)
+        self._times = Timeline.here()
+        self._store = Store(
+            directory_for(state_dir, name), name, self._times.now(), self._fault, self._times
+        )
         self._since = 0.0
         self._tier: TierMemory | None = None
         self._incarnation = 0
@@ -46,13 +50,14 @@
 
     def load(self, classes: int) -> tuple[list[ServerMemory], TierMemory | None]:
         """What an earlier process has left and is not too old; nothing where it can't be read."""
-        now = time.time()
+        now = self._times.now()
         try:
             self._store.claim(now)
             if not self._store.writing:
                 self._store.load(now)
         except OSError as fault:
             self._fault(str(self._name), f"unwritable: {fault.strerror}")
+            self._store.load(now)
         return self._fresh(self._store.state, classes, now)
 
     def _fresh(self, state: State, classes: int, now: float) -> tuple[list[ServerMemory], TierMemory | None]:
@@ -99,40 +104,47 @@
                 batch = self._batch(now, balancer, incarnation())
             try:
                 wrote = await loop.run_in_executor(self._scribe, self._write, batch)
-            except OSError as fault:
+            except Exception as fault:  # Guards later batches: whatever it is, the next one is tried
                 self.counters["write_errors"] += 1
                 if not self._failing:  # one line a spell
-                    log.error("state.write_error", node=self._name, error=str(fault.strerror))
+                    log.error("state.write_error", node=self._name, error=str(fault))
                 self._failing = True
-                self._since = 0.0  # all of it again, once it can be written
+                self._forget_told()
                 continue
             if batch:
                 self._failing = False
                 self.counters["batches"] += wrote
                 self.counters["entries"] += len(batch)
 
+    def _forget_told(self) -> None:
+        """Nothing of the last batch is on the disk: all of it again, once it can be written."""
+        self._since = 0.0
+        self._tier = None
+        self._told_incarnation = NEVER_TOLD
+
     def _batch(self, now: float, balancer: Balancer, incarnation: int) -> list[Row]:
         """What has changed since the last batch."""
         servers, tier = balancer.learned(now, self._since)
         self._since = now
+        at = self._times.now()
         batch: list[Row] = [
-            ("server", server_name(row.server), now, [
+            ("server", server_name(row.server), at, [
                 row.started, row.baseline, row.current, row.latency, row.requests, row.accepts, row.failures
             ]) for row in servers
         ]
         if tier != self._tier:
             self._tier = tier
             figures = [tier.pooled, list(tier.class_latency), tier.pace, tier.paced, list(tier.rates)]
-            batch.append(("tier", "tier", now, figures))
+            batch.append(("tier", "tier", at, figures))
         if incarnation != self._told_incarnation:
             self._told_incarnation = incarnation
-            batch.append(("incarnation", "self", now, incarnation))
+            batch.append(("incarnation", "self", at, incarnation))
         return batch
 
     def _write(self, batch: list[Row]) -> int:
         """In the scribe's thread: add a batch, or try to become the writer."""
         if not self._store.writing:
-            self._store.claim(time.time())
+            self._store.claim(self._times.now())
         elif batch:
             self._store.append(batch)
             return 1
@@ -149,7 +161,10 @@
             self._task.cancel()
         if self._scribe is None:
             return
-        await asyncio.get_running_loop().run_in_executor(self._scribe, self._store.close)
+        try:
+            await asyncio.get_running_loop().run_in_executor(self._scribe, self._store.close)
+        except OSError as fault:  # Guards the end: the lock goes with the process
+            log.error("state.write_error", node=self._name, error=str(fault))
 
     def _fault(self, file: str, word: str) -> None:
         self.counters["faults"] += 1
--- a/tests/cluster/test_recovery.py
+++ b/tests/cluster/test_recovery.py
@@ -90,7 +90,7 @@
                 self.file.close()
 
         opened = Path.open
-        Path.open = lambda self, mode="r": Halting(opened(self, mode))  # type: ignore
+        Path.open = lambda self, *how, **more: Halting(opened(self, *how, **more))  # type: ignore
         os.fsync = lambda fd: (count(), fsync(fd))[1]  # type: ignore
         os.rename = lambda one, two: (count(), rename(one, two))[1]  # type: ignore
         try:
