--- a/lugspur/event_loop.py
+++ b/lugspur/event_loop.py
@@ -8,39 +8,35 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
-import time
+from collections.abc import Coroutine
+from typing import Any
 
-OVERSLEPT = 0.05  # seconds beyond its time that a look at the sockets takes where the process was stopped
-LATE = 0.05  # seconds since the last look at the sockets, after which what they hold may be old news
-
-Events = list[tuple[selectors.SelectorKey, int]]
-
-
-class RereadingSelector(selectors.EpollSelector):
-    """Looks at the sockets once more where the first look brought nothing and took too long."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.looked_at = time.monotonic()  # when the last look was over
+from lugspur.events import log
+from lugspur.selector import RereadingSelector
 
-    def select(self, timeout: float | None = None) -> Events:
-        """As the selector's own."""
-        begun = time.monotonic()
-        events = super().select(timeout)
-        self.looked_at = time.monotonic()
-        if not events and timeout is not None and self.looked_at - begun > max(timeout, 0.0) + OVERSLEPT:
-            events = super().select(0.0)
-        return events
+LATE = 0.05  # seconds since the last look at the sockets, after which what they hold may be old news
 
 
 class EventLoop(asyncio.SelectorEventLoop):
-    """An event loop that knows when it last looked at its sockets."""
+    """An event loop that knows when it last looked at its sockets, and logs its own complaints."""
 
     def __init__(self) -> None:
         self._rereading = RereadingSelector()
         super().__init__(self._rereading)
+        self.set_exception_handler(_complain)
 
     def is_late(self) -> bool:
         """Whether its sockets may hold what has come long since."""
         return self.time() - self._rereading.looked_at > LATE
+
+
+def run(main: Coroutine[Any, Any, None]) -> None:
+    """As `asyncio.run`, on such a loop."""
+    with asyncio.Runner(loop_factory=EventLoop) as runner:
+        runner.run(main)
+
+
+def _complain(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """A callback or a task has failed: one line of the log, whose repeats are bounded."""
+    fault = context.get("exception")
+    log.error("loop.fault", reason=str(context["message"])[:200], error=repr(fault)[:200], exc_info=fault)
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -13,7 +13,8 @@
 from loopback import OK, backend, entry, read, running, status, until
 
 from lugspur import event_loop as module
-from lugspur.event_loop import EventLoop, Events, RereadingSelector
+from lugspur.event_loop import EventLoop
+from lugspur.selector import OVERSLEPT, Events, RereadingSelector
 
 
 def run(coroutine: Coroutine[Any, Any, None]) -> None:
@@ -23,7 +24,7 @@
 
 @pytest.mark.parametrize(("timeout", "took", "looks"), [
     (1.0, 1.0, [1.0]), (1.0, 4.0, [1.0, 0.0]), (0.0, 3.0, [0.0, 0.0]), (-1.0, 3.0, [-1.0, 0.0]),
-    (None, 9.0, [None]), (1.0, 1.0 + module.OVERSLEPT, [1.0]),
+    (None, 9.0, [None]), (1.0, 1.0 + OVERSLEPT, [1.0]),
 ])
 def test_a_look_that_took_too_long_and_brought_nothing_is_made_again(
     timeout: float | None, took: float, looks: list[float | None], monkeypatch: pytest.MonkeyPatch
@@ -64,7 +65,7 @@
         def stopped(self: selectors.EpollSelector, timeout: float | None = None) -> Events:
             monkeypatch.setattr(selectors.EpollSelector, "select", select)
             theirs.send(b"x")
-            time.sleep((timeout or 0.0) + 2.0 * module.OVERSLEPT)
+            time.sleep((timeout or 0.0) + 2.0 * OVERSLEPT)
             return []
 
         loop.call_later(0.01, order.append, "timer")
