--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -13,6 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from drain_rule import Span
+
 from simulation.link import ROOM_ALL
 from simulation.network import NEVER, Dial
 from simulation.registry import Station, Style
@@ -95,6 +97,7 @@
     lasts = rng.uniform(0.3, min(3.0, run.most_delay - 1.0))
     _restyle(run, begin - 0.001, begin + lasts,
              lambda process: rng.choice([Style(unavailable=True), Style(reset=True)]))
+    run.turned_away.append(Span(run.begin + begin, run.begin + begin + lasts))
     _break_watches(run, begin)
 
 
--- a/tests/test_drain_rule.py
+++ b/tests/test_drain_rule.py
@@ -43,6 +43,8 @@
     ({"messages": [Message(10.2, 1)]}, Told(10.2, "written")),
     ({"messages": [Message(9.0, 0), Message(11.0, 0), Message(12.0, 3)]}, Told(12.0, "written")),
     ({"started": 12.0}, Told(12.0, "start")),
+    ({"started": 12.0, "turned_away": [Span(9.0, 12.5)]}, Told(18.0, "reachable")),
+    ({"started": 12.0, "turned_away": [Span(9.0, 11.9)]}, Told(12.0, "start")),
     ({"started": 12.0, "pushed": False}, Told(18.0, "reachable")),
     ({"started": 12.0, "reachable": [Span(0.0, 11.0), Span(14.0)]}, Told(20.0, "reachable")),
     ({"reachable": [Span(0.0, 12.0), Span(20.0, 24.0), Span(25.0)]}, Told(31.0, "reachable")),
