--- a/tests/test_drain_simulation.py
+++ b/tests/test_drain_simulation.py
@@ -51,6 +51,15 @@
     assert_sound([simulation.play(seed, [name]) for seed in FLEET_SEEDS])
 
 
+@pytest.mark.parametrize(("names", "seed"), [
+    ("no_room", 29), ("clock_step", 7), ("clock_step", 32), ("half_file", 45), ("slow+restart", 1),
+    ("slow+restart", 28), ("long_list+restart", 1), ("restart+cut", 30), ("restart+no_news", 13),
+    ("slow+sighup", 7),
+])
+def test_no_attempt_is_late_in_runs_that_showed_a_fault_once(names: str, seed: int) -> None:
+    assert_sound([simulation.play(seed, names.split("+"))])
+
+
 @pytest.mark.parametrize("names", [["slow"], ["restart", "upgrade"], ["bad_servers", "late_dials"]])
 def test_a_seed_gives_the_same_run_every_time(names: list[str]) -> None:
     first, second = simulation.play(1, names), simulation.play(1, names)
