A new process also waits for its list where discovery's answer was cut after its head

Cause: a call that was answered 200 and cut, or ended with no news, counted as a discovery that is down: one second after its start the process served by the list in its configuration, though discovery was up.

Change: a call whose answer has begun shows that discovery is up, as one that has waited in its queue does.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -80,7 +80,7 @@
         self.failures = 0  # calls in a row that brought nothing
         self.unreadable = 0  # entries that were not read, or only in part
         self.heard_at: float | None = None  # when the last whole message came, by the clock
-        self._queued_last = False  # the call that failed last had waited for its turn
+        self._up_last = False  # the call that failed last had waited for its turn, or was cut short
 
     def open(self) -> None:
         """Start the watch; nothing happens where it runs already."""
@@ -110,8 +110,8 @@
             self._due = None
 
     def may_answer(self) -> bool:
-        """Whether discovery has accepted a call that it still owes an answer, or has a queue of them."""
-        return self._queued_last or any(watch.unanswered() for watch in self._open_watches())
+        """Whether discovery owes a call its answer, or was up when the last one failed."""
+        return self._up_last or any(watch.unanswered() for watch in self._open_watches())
 
     def is_live(self) -> bool:
         """Whether a watch is followed that has told a message before this one: it tells news at once."""
@@ -222,7 +222,7 @@
             self._drop(but=watch)
             self._waiting.remove(watch)
             self._watch = watch
-        self._queued_last = False
+        self._up_last = False
         self._wait(SILENT, self._over, watch)
 
     def _start_over(self) -> None:
@@ -237,7 +237,8 @@
         """This watch is no good any more; what an earlier one still has to say is no news."""
         if watch not in self._open_watches():
             return
-        self._queued_last = watch.unanswered() and self._age(watch) >= QUEUED_LEAST
+        queued = self._age(watch) >= QUEUED_LEAST
+        self._up_last = watch.unanswered() and (queued or watch.accepted)
         if watch is not self._watch:
             self._let_go(watch)
             return
@@ -270,6 +271,7 @@
     def __init__(self, discovery: Discovery, address: Address, since: int) -> None:
         self.address = address
         self.connected_at: float | None = None  # by the discovery's clock
+        self.accepted = False  # discovery has begun to answer
         self.following = False  # it has told a message
         self._discovery = discovery
         self._request = (
@@ -330,7 +332,9 @@
     # ---- the parser's calls ------------------------------------------------------------------
 
     def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() != 200:
+        if self._parser.get_status_code() == 200:
+            self.accepted = True
+        else:
             self._discovery._over(self)
 
     def on_body(self, body: bytes) -> None:
--- a/tests/test_discovery_overload.py
+++ b/tests/test_discovery_overload.py
@@ -275,3 +275,28 @@
     answered = 2.0  # seconds from the next call to its answer
     assert max(delays) + CALL_MOST + BACKOFF_FIRST + answered < TOLD_AFTER
     assert max(delays) - min(delays) > 0.5 * min(0.4 * ask_within, 0.8), "they call together"
+
+
+@pytest.mark.parametrize(("answer", "may_answer"), [
+    (HEAD, True), (HEAD + chunk(b'{"index": 9, "endp'), True), (BUSY, False), (b"", False),
+])
+def test_a_discovery_that_began_to_answer_is_up_though_its_answer_is_cut(
+    answer: bytes, may_answer: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A new process waits for its list then, as where it is slow; where it refuses at once it is down."""
+    clock, calls = DrivenClock(), list[_Watch]()
+
+    def dial(watch: _Watch) -> None:
+        calls.append(watch)
+        watch.connection_made(FakeTransport())
+
+    watch = Proxies(clock, 1, dial, monkeypatch).watches[0]
+    watch.open()
+    assert watch.may_answer()
+    if answer:
+        calls[0].data_received(answer)
+    calls[0].connection_lost(None)
+    assert watch.may_answer() == may_answer
+    clock.run_until(1.0, lambda: len(calls) == 2)
+    calls[1].connection_lost(None)
+    assert not watch.may_answer(), "the last call tells"
