Test: news that came while a process stood still is read before its watch is given up

Seen: epoll_wait ends at SIGCONT, Python finds its time-out passed and tells no events, so the loop runs what is due before it reads: the watch was given up with the news unread in it.

--- a/tests/cluster/test_drain_fleet.py
+++ b/tests/cluster/test_drain_fleet.py
@@ -11,6 +11,7 @@
 from drain_fleet import GRACE
 from drain_stage import SERVERS, Stage
 
+from lugspur.discovery import SILENT
 from lugspur.lab.fleet import LOOK_EVERY, PATIENCE, Fleet
 from lugspur.lab.load import Load, outcomes
 
@@ -56,6 +57,13 @@
     return all(any(row.index == newest for row in written.get(name, [])) for name in stage.names)
 
 
+def asleep(stage: Stage, name: str) -> bool:
+    """Whether the process waits for events: stopped then, it wakes up to time-outs, and no events are told."""
+    process = stage.fleet.nodes[name].process
+    assert process is not None
+    return Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()[0] == "S"
+
+
 def test_servers_that_drain_are_left_alone_once_the_processes_have_been_told(tmp_path: Path) -> None:
     async def act(stage: Stage) -> None:
         await ask_all(stage)
@@ -116,3 +124,23 @@
         await ask_all(stage)
 
     play(tmp_path, 2, act)
+
+
+def test_what_came_while_a_process_stood_still_is_read_before_its_watch_is_given_up(tmp_path: Path) -> None:
+    async def act(stage: Stage) -> None:
+        name = stage.names[0]
+        calls = stage.discovery.record.calls
+        await until(lambda: asleep(stage, name))
+        stage.fleet.pause(name)
+        await stage.drain(SERVERS // 2)
+        await until(lambda: heard(stage))
+        load = Load([stage.fleet.nodes[name].listen], timeout=PATIENCE)
+        asked = asyncio.create_task(load.play(REQUESTS, 1000.0))
+        await asyncio.sleep(SILENT + GRACE)  # its watch would have to be given up by now
+        stage.fleet.resume(name)
+        await asked
+        await ask_all(stage)
+        load.close()
+        assert stage.discovery.record.calls == calls, "the watch was given up with news unread in it"
+
+    play(tmp_path, 1, act)
