--- a/tests/cluster/test_drain_fleet.py
+++ b/tests/cluster/test_drain_fleet.py
@@ -58,7 +58,7 @@
 
 
 def asleep(stage: Stage, name: str) -> bool:
-    """Whether the process waits for events: stopped then, it wakes up to time-outs, and no events are told."""
+    """Whether the process waits for events: stopped then, it wakes up to its time-outs and to no events."""
     process = stage.fleet.nodes[name].process
     assert process is not None
     return Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()[0] == "S"
