--- /dev/null
+++ b/lugspur/call.py
@@ -0,0 +1,74 @@
+"""One request of a caller while it is with the proxy: its deadline, its attempts and its caller."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from jaspershelf.model import Outcome
+from lugspur import upstream
+from lugspur.server import Caller, Facts, Request
+
+
+class CallOwner(Protocol):
+    """Who is told what becomes of a call's attempts."""
+
+    def pass_on(
+        self, call: Call, exchange: upstream.Exchange, response: upstream.Response
+    ) -> Callable[[bytes], None] | None:
+        """An answer is too large to hold; where it goes as it comes, None if nobody wants it."""
+
+    def outcome(
+        self, call: Call, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+    ) -> None:
+        """An attempt is over."""
+
+
+class Call:
+    """A request that a final answer is owed for, or that still has attempts out."""
+
+    __slots__ = (
+        "_owner", "caller", "deadline", "exchanges", "facts", "last", "passing", "request", "rid", "timer",
+    )
+
+    def __init__(self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller) -> None:
+        self._owner = owner
+        self.rid = rid
+        self.request = request
+        self.facts = facts
+        self.caller: Caller | None = caller  # None once nothing is owed
+        self.deadline = math.inf  # in the loop's time; it has none while the request is still coming in
+        self.exchanges: list[upstream.Exchange] = []
+        self.last = Outcome.VOID  # how its latest attempt ended
+        self.passing = False  # its answer is passed on as it comes
+        self.timer: asyncio.TimerHandle | None = None
+
+    def head_for(self, left: float) -> bytes:
+        """The request's head as it goes to a backend that is waited for so many seconds."""
+        request, body = self.request, self.request.body
+        framing = b""
+        if not body.whole and body.length is None:
+            framing = b"Transfer-Encoding: chunked\r\n"
+        elif body.size or body.length or request.method != b"GET":
+            framing = b"Content-Length: %d\r\n" % (body.size if body.whole else body.length or 0)
+        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n" % (
+            request.method, request.target, request.lines, max(min(left, self.facts.timeout), 0.001), framing
+        )
+
+    def wanted(self) -> bool:
+        """Whether an answer is still owed."""
+        return self.caller is not None
+
+    def begun(
+        self, exchange: upstream.Exchange, response: upstream.Response
+    ) -> Callable[[bytes], None] | None:
+        """An answer is passed on from here."""
+        return self._owner.pass_on(self, exchange, response)
+
+    def ended(
+        self, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+    ) -> None:
+        """An attempt is over."""
+        self._owner.outcome(self, exchange, outcome, response)
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -3,12 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import math
 import time
-from collections.abc import Callable, Mapping
-from concurrent.futures import Executor
+from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 import orjson
 
@@ -23,16 +21,16 @@
     Refuse,
     Repeat,
     Send,
-    ServerMemory,
-    State,
     Subscribe,
-    TierMemory,
     Timer,
 )
 from lugspur import discovery, upstream
 from lugspur.admin import Admin, Route
+from lugspur.backend_list import BackendList
+from lugspur.call import Call
 from lugspur.config import Address, Config
 from lugspur.events import log
+from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.orders import OrderBook, Orders
 from lugspur.scribe import Scribe
 from lugspur.server import Caller, Facts, Front, Rejected, Request
@@ -52,100 +50,6 @@
 KNOWN_LOOK_EVERY = 0.1  # seconds between looks at which of these it is
 
 
-class Call:
-    """A request that a final answer is owed for, or that still has attempts out."""
-
-    __slots__ = (
-        "_proxy", "caller", "deadline", "exchanges", "facts", "last", "passing", "request", "rid", "timer",
-    )
-
-    def __init__(self, proxy: Proxy, rid: str, request: Request, facts: Facts, caller: Caller) -> None:
-        self._proxy = proxy
-        self.rid = rid
-        self.request = request
-        self.facts = facts
-        self.caller: Caller | None = caller  # None once nothing is owed
-        self.deadline = math.inf  # in the loop's time; it has none while the request is still coming in
-        self.exchanges: list[upstream.Exchange] = []
-        self.last = Outcome.VOID  # how its latest attempt ended
-        self.passing = False  # its answer is passed on as it comes
-        self.timer: asyncio.TimerHandle | None = None
-
-    def head_for(self, left: float) -> bytes:
-        """The request's head as it goes to a backend that is waited for so many seconds."""
-        request, body = self.request, self.request.body
-        framing = b""
-        if not body.whole and body.length is None:
-            framing = b"Transfer-Encoding: chunked\r\n"
-        elif body.size or body.length or request.method != b"GET":
-            framing = b"Content-Length: %d\r\n" % (body.size if body.whole else body.length or 0)
-        return b"%b %b HTTP/1.1\r\n%bX-Timeout: %.3f\r\n%b\r\n" % (
-            request.method, request.target, request.lines, max(min(left, self.facts.timeout), 0.001), framing
-        )
-
-    def wanted(self) -> bool:
-        """Whether an answer is still owed."""
-        return self.caller is not None
-
-    def begun(
-        self, exchange: upstream.Exchange, response: upstream.Response
-    ) -> Callable[[bytes], None] | None:
-        """An answer is passed on from here."""
-        return self._proxy.pass_on(self, exchange, response)
-
-    def ended(
-        self, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
-    ) -> None:
-        """An attempt is over."""
-        self._proxy.outcome(self, exchange, outcome, response)
-
-
-class Figures(Protocol):
-    """A part that has figures to show."""
-
-    def figures(self) -> list[str]:
-        """Lines of the telemetry."""
-
-
-class Shared(Figures, Protocol):
-    """What the proxy asks of the shared state (`cluster.sharing.Sharing`)."""
-
-    def report(self) -> dict[str, object]:
-        """What operators see of it."""
-
-
-class Memory(Protocol):
-    """What the proxy asks of its state on disk (`store.keeper.Keeper`)."""
-
-    def load(self, classes: int) -> tuple[list[ServerMemory], TierMemory | None]:
-        """What an earlier process has left."""
-
-    def open(
-        self, balancer: Balancer, clock: Callable[[], float], incarnation: Callable[[], int], scribe: Executor
-    ) -> None:
-        """Keep what the module learns from now on; files are written in the scribe's thread."""
-
-    def figures(self) -> list[str]:
-        """Lines of the telemetry."""
-
-
-class Membership(Protocol):
-    """What the proxy asks of its membership among the proxies (`cluster.node.Node`)."""
-
-    @property
-    def incarnation(self) -> int:
-        """Its own, now."""
-
-    def view(self) -> list[dict[str, object]]:
-        """The members as operators see them."""
-
-    def figures(self) -> list[str]:
-        """Lines of the telemetry."""
-
-    def drained(self, drained: bool) -> None:
-        """Leave the group while drained, and come back after."""
-
-
 class Proxy:
     """One running proxy: the decision module between callers, backends and discovery."""
 
@@ -161,7 +65,6 @@
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
         self._epoch = time.time() - self._loop.time()
         self._balancer = Balancer(config.settings, config.seed)
-        self._backends: dict[int, upstream.Backend] = {}
         self._start_times = StartTimes()
         self.call_failed: Callable[[], None] = lambda: None  # told of each call to discovery that failed
         self._calls: dict[str, Call] = {}
@@ -177,6 +80,8 @@
             # Guards the limit on descriptors: this may be the second process, and both count together.
             self._upstream.halve()
             self._loop.call_later(OVERLAP, self._upstream.restore)
+        self._list = BackendList(self._upstream, self._balancer)
+        self._backends = self._list.backends
         self._telemetry = Telemetry([row.name for row in config.settings.classes])
         self.front = Front(config, callers, self._request, self._telemetry)
         self.admin = Admin({
@@ -382,37 +287,14 @@
         drain or is left out.
         """
         told = {endpoint.row.server: endpoint for endpoint in endpoints}
-        self._take_out(kind, told)
+        self._list.withdraw(kind, told)
         now, live = self._now(), kind is ListKind.PATCH and self._discovery.is_live()
         rows = [self._start_times.adjust(now, endpoint.row, live) for endpoint in endpoints]
         actions = self._decide(self._balancer.members, kind, rows)
-        for server in list(told if kind is ListKind.PATCH else {**self._backends, **told}):
-            try:
-                self._follow_list(server, told.get(server))
-            except Exception:
-                log.error("list.fault", member=discovery.server_name(server), exc_info=True)
+        self._list.follow(kind, told)
         self._perform(actions)
         self._rank()
 
-    def _take_out(self, kind: ListKind, told: Mapping[int, discovery.Endpoint]) -> None:
-        for server, backend in self._backends.items():
-            endpoint = told.get(server)
-            gone = endpoint is None and kind is not ListKind.PATCH
-            if gone or (endpoint is not None and endpoint.row.state is not State.UP):
-                backend.in_service = False
-
-    def _follow_list(self, server: int, endpoint: discovery.Endpoint | None) -> None:
-        """Where a backend is, and whether it is in service, as the list now says; None: it is left out."""
-        if endpoint is None:
-            backend = self._backends[server]
-            self._upstream.update(backend, backend.address, backend.started, False)
-            return
-        row = endpoint.row
-        backend = self._backends.setdefault(server, upstream.Backend(endpoint.address))
-        # Guards against a module that could not apply the message and still holds the row before it.
-        takes = row.state is State.UP and self._balancer.takes(server)
-        self._upstream.update(backend, endpoint.address, row.started, takes)
-
     def _rank(self) -> None:
         """Affinity ranks the servers that are in use."""
         if self._affinity is not None:
@@ -425,10 +307,10 @@
         excluded = {discovery.server_id(name) for name in orders.excluded}
         for server in excluded - self._balancer.excluded.keys():
             self._perform(self._decide(self._balancer.exclude, server))
-            self._reach(server)
+            self._list.refresh(server)
         for server in self._balancer.excluded.keys() - excluded:
             self._perform(self._decide(self._balancer.include, server))
-            self._reach(server)
+            self._list.refresh(server)
         self._rank()
         if self._membership is not None:
             self._membership.drained(orders.drained)
@@ -437,13 +319,6 @@
         else:
             self.front.rejoin()
 
-    def _reach(self, server: int) -> None:
-        """Keep connections to a backend, or close those that are idle, as the module uses it or not."""
-        backend = self._backends.get(server)
-        if backend is not None:
-            takes = self._balancer.takes(server)
-            self._upstream.update(backend, backend.address, backend.started, takes)
-
     def _go_on_noticing(self) -> None:
         """Look for orders as long as there may be some: of a second process, or not yet read."""
         if self._noticing is None or self._noticing.done():
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -30,7 +30,8 @@
 
 from jaspershelf.model import Outcome
 from lugspur import upstream
-from lugspur.proxy import Call, Proxy
+from lugspur.call import Call
+from lugspur.proxy import Proxy
 from lugspur.server import Caller, Facts, Request
 from lugspur.upstream import Backend as Known
 from lugspur.upstream import Connection, Exchange, Upstream
