--- /dev/null
+++ b/lugspur/backend_connection.py
@@ -0,0 +1,293 @@
+"""A connection to a backend: it writes one request at a time and reads the answer."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import select
+from typing import TYPE_CHECKING
+
+import httptools
+
+from jaspershelf.model import Outcome
+from lugspur.body import HELD_MOST
+from lugspur.config import Address
+from lugspur.exchange import Exchange, Response
+
+if TYPE_CHECKING:
+    from lugspur.upstream import Upstream
+
+STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
+STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
+STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
+READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
+BLANKS = b" \t"  # they may stand around a header's value and are no part of it
+HOP_BY_HOP = frozenset(
+    {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+     b"content-length", b"expect"}
+)
+
+
+class Backend:
+    """One backend of the list and the idle connections to it, the most recently used last."""
+
+    __slots__ = ("address", "doubts", "idle", "in_service", "quickest", "started")
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.started = 0.0
+        self.in_service = False
+        self.idle: list[Connection] = []
+        self.quickest = math.inf  # seconds from a request's writing to the head of its answer, at the least
+        self.doubts = 0  # answers in a row that were taken for stray ones
+
+    def process(self) -> tuple[Address, float]:
+        """Which process the list names now: where it listens, and when it started."""
+        return self.address, self.started
+
+
+class Connection(asyncio.BufferedProtocol):
+    """A connection to a backend; it carries one exchange at a time."""
+
+    def __init__(self, upstream: Upstream, backend: Backend, to: tuple[Address, float] | None = None) -> None:
+        self._upstream = upstream
+        self.backend = backend
+        self._to = to or backend.process()  # as it was when the dial began
+        self.exchange: Exchange | None = None
+        self.written = False  # whether the last byte of the request is out
+        self.idle_since = 0.0
+        self._answered = -math.inf  # when its last answer was complete
+        self._sent = 0.0  # when its request was written
+        self._parser = httptools.HttpResponseParser(self)
+        self._last = False  # the request's last byte has been handed to the transport
+        self._begin()
+
+    def _begin(self) -> None:
+        self._head: list[bytes] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._length: int | None = None
+        self._in_chunks = False
+        self._unseen = False
+        self._in_body = False  # the headers are complete, and the message is not
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        transport.set_write_buffer_limits(high=0)  # resume_writing then tells that all is out
+        self._poll = select.poll()
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._upstream.made()
+
+    # ---- the request ----------------------------------------------------------------------------
+
+    def send(self, exchange: Exchange, head: bytes) -> bool:
+        """Write a request: at once where its body is there, else as it comes.
+
+        False if the socket took none of it: the connection is closed then, and nothing was sent. Guards the
+        drains: what is left in the transport's buffer would go out whenever there is room, whatever the list
+        says by then. Once its first byte is out a request may take its time.
+        """
+        self.written = False
+        self._sent = self._upstream.now()
+        body = exchange.body.held()
+        self._last = body is not None
+        request = head + body if body is not None else head
+        self._transport.write(request)
+        if self._transport.get_write_buffer_size() >= len(request):
+            self.abandon()
+            return False
+        self.exchange = exchange
+        exchange.connection = self
+        if body is None:
+            exchange.body.attach(self)
+        else:
+            self._look_out()
+        return True
+
+    def is_fresh(self) -> bool:
+        """Whether it has never been idle."""
+        return self.idle_since == 0.0
+
+    def write_body(self, data: bytes) -> None:
+        """The next bytes of the body."""
+        in_chunks = self.exchange is not None and self.exchange.body.length is None
+        self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if in_chunks else data)
+
+    def end_body(self) -> None:
+        """The body is complete."""
+        self._last = True
+        if self.exchange is not None and self.exchange.body.length is None:
+            self._transport.write(b"0\r\n\r\n")
+        self._look_out()
+
+    def blocked(self) -> bool:
+        """Whether some of what was written is still here."""
+        return self._transport.get_write_buffer_size() > 0 or self._transport.is_closing()
+
+    def _look_out(self) -> None:
+        # What the socket took at once is out, unless the write itself found the connection broken.
+        if self._last and not self.written and not self.blocked():
+            self.written = True
+            self._upstream.dispatches += 1
+
+    def pause_writing(self) -> None:
+        """A part of the request is still unsent."""
+
+    def resume_writing(self) -> None:
+        if self.exchange is not None:
+            self.exchange.moved()
+            if not self._last:
+                self.exchange.body.resume()
+        self._look_out()
+
+    def hold(self, paused: bool) -> None:
+        """Read nothing for now, or read on."""
+        if paused:
+            self._transport.pause_reading()
+        else:
+            self._transport.resume_reading()
+
+    def usable(self) -> bool:
+        """Whether it can carry another exchange: it is open, to the process that the list names now."""
+        return not self._transport.is_closing() and self._to == self.backend.process()
+
+    def quiet(self) -> bool:
+        """Whether nothing has come on it that the loop has not read yet: its end, or what nobody asked for.
+
+        Guards what is written to it next: that would be lost, or answered with something else. Where the
+        system can't tell, it is not taken for quiet.
+        """
+        try:
+            return not self._poll.poll(0)
+        except OSError:
+            return False
+
+    def abandon(self) -> None:
+        """Close at once, unsent bytes dropped."""
+        self.exchange = None
+        self._transport.abort()
+
+    # ---- the answer -------------------------------------------------------------------------------
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next bytes go: what is read is taken up before anything else is read."""
+        return READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come."""
+        if self.exchange is not None:
+            self.exchange.moved()
+        try:
+            self._parser.feed_data(READ_BUFFER[:nbytes])
+        except httptools.HttpParserCallbackError:
+            raise  # a fault of ours, not the backend's
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._spoilt()
+
+    def _spoilt(self) -> None:
+        if self.exchange is not None:
+            self.exchange.broke()
+        else:
+            self.abandon()
+
+    def on_message_begin(self) -> None:
+        self._begin()
+        if self.exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
+            self._transport.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if self._in_body:
+            return  # a trailer
+        lower, value = name.lower(), value.strip(BLANKS)
+        if lower == b"x-not-processed":
+            self._unseen = value == b"1"
+        elif lower == b"content-length":
+            self._length = int(value)
+        elif lower == b"transfer-encoding":
+            self._in_chunks = True
+            if value.lower() != b"chunked":  # nobody asked for another one
+                self._spoilt()
+        elif lower not in HOP_BY_HOP:
+            self._head.append(b"%b: %b\r\n" % (name, value))
+
+    def on_headers_complete(self) -> None:
+        self._in_body = True
+        if self.exchange is not None and self._parser.get_status_code() == 200 and self._is_stray():
+            self.exchange.broke()
+
+    def _is_stray(self) -> bool:
+        """Whether this is rather a second answer to the request before, some milliseconds late.
+
+        Guards the next request, if it was written in between: it would be served with another's answer. To
+        rest connections for so long instead was tried: under load it costs far more (docs/ROADMAP.md). Of a
+        backend that has ever answered as quickly as that nothing can be told.
+        """
+        now, backend = self._upstream.now(), self.backend
+        took = now - self._sent
+        knows = STRAY_WITHIN <= backend.quickest < math.inf and backend.doubts < STRAYS_MOST
+        if knows and now - self._answered < STRAY_WITHIN and took < STRAY_PART * backend.quickest:
+            backend.doubts += 1
+            return True
+        backend.doubts = 0
+        backend.quickest = min(backend.quickest, took)
+        return False
+
+    def on_body(self, body: bytes) -> None:
+        exchange = self.exchange
+        if exchange is None:
+            return
+        if exchange.pass_on is not None:
+            exchange.pass_on(body)
+            return
+        self._size += len(body)
+        if self._parser.get_status_code() != 200:
+            return  # an error's text serves nobody
+        self._body.append(body)
+        if max(self._size, self._length or 0) > HELD_MOST:
+            self._pass_on(exchange)
+
+    def _pass_on(self, exchange: Exchange) -> None:
+        if not self.written:  # Guards what is still to be sent: this answers no request.
+            exchange.broke()
+            return
+        beginning = self._response()
+        self._body.clear()
+        exchange.begin(beginning)
+
+    def _response(self) -> Response:
+        status = self._parser.get_status_code()
+        return Response(status, b"".join(self._head), b"".join(self._body), self._length)
+
+    def on_message_complete(self) -> None:
+        self._in_body = False
+        if self._parser.get_status_code() >= 200:
+            self._complete(self._parser.should_keep_alive())
+
+    def _complete(self, keep_alive: bool) -> None:
+        exchange, status = self.exchange, self._parser.get_status_code()
+        if exchange is None:
+            return
+        self._answered = self._upstream.now()
+        if exchange.paused:
+            self.hold(False)
+        if self.written and keep_alive and self.usable():
+            self.exchange = exchange.connection = None
+            self._upstream.release(self)
+        exchange.end(self._outcome(status), self._response())
+
+    def _outcome(self, status: int) -> Outcome:
+        if status == 200:
+            return Outcome.OK
+        return Outcome.FULL if status in (503, 504) and self._unseen else Outcome.ERROR
+
+    def eof_received(self) -> None:
+        """The backend has closed: the end of an answer that names no other."""
+        if self._in_body and self._length is None and not self._in_chunks:
+            self._in_body = False
+            self._complete(False)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._upstream.lost(self)
+        if self.exchange is not None:
+            self.exchange.broke()
--- a/lugspur/backend_list.py
+++ b/lugspur/backend_list.py
@@ -6,9 +6,10 @@
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import ListKind, ServerId, State
+from lugspur.backend_connection import Backend
 from lugspur.endpoints import Endpoint, server_name
 from lugspur.events import log
-from lugspur.upstream import Backend, Upstream
+from lugspur.upstream import Upstream
 
 
 class BackendList:
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from jaspershelf.model import Outcome
-from lugspur import upstream
+from lugspur.exchange import Exchange, Response
 from lugspur.server import Caller, Facts, Request
 
 
@@ -16,12 +16,12 @@
     """Who is told what becomes of a call's attempts."""
 
     def pass_on(
-        self, call: Call, exchange: upstream.Exchange, response: upstream.Response
+        self, call: Call, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
         """An answer is too large to hold; where it goes as it comes, None if nobody wants it."""
 
     def outcome(
-        self, call: Call, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+        self, call: Call, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over."""
 
@@ -40,7 +40,7 @@
         self.facts = facts
         self.caller: Caller | None = caller  # None once nothing is owed
         self.deadline = math.inf  # in the loop's time; it has none while the request is still coming in
-        self.exchanges: list[upstream.Exchange] = []
+        self.exchanges: list[Exchange] = []
         self.last = Outcome.VOID  # how its latest attempt ended
         self.passing = False  # its answer is passed on as it comes
         self.timer: asyncio.TimerHandle | None = None
@@ -62,13 +62,13 @@
         return self.caller is not None
 
     def begun(
-        self, exchange: upstream.Exchange, response: upstream.Response
+        self, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
         """An answer is passed on from here."""
         return self._owner.pass_on(self, exchange, response)
 
     def ended(
-        self, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+        self, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over."""
         self._owner.outcome(self, exchange, outcome, response)
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -24,18 +24,20 @@
     Subscribe,
     Timer,
 )
-from lugspur import discovery, upstream
+from lugspur import discovery
 from lugspur.admin import Admin, Route
 from lugspur.backend_list import BackendList
 from lugspur.call import Call
 from lugspur.config import Address, Config
 from lugspur.events import log
+from lugspur.exchange import Exchange, Response
 from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.orders import OrderBook, Orders
 from lugspur.scribe import Scribe
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
+from lugspur.upstream import Upstream
 
 if TYPE_CHECKING:
     from lugspur.affinity import Affinity
@@ -75,7 +77,7 @@
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
-        self._upstream = upstream.Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
+        self._upstream = Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
         if config.listen_fd is not None:
             # Guards the limit on descriptors: this may be the second process, and both count together.
             self._upstream.halve()
@@ -471,7 +473,7 @@
     def _send(self, call: Call, action: Send) -> None:
         now = self._loop.time()
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
-        exchange = upstream.Exchange(
+        exchange = Exchange(
             call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
             call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
@@ -483,7 +485,7 @@
             raise
 
     def pass_on(
-        self, call: Call, exchange: upstream.Exchange, response: upstream.Response
+        self, call: Call, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
         """An answer is too large to hold: hand it to the caller as it comes; None if nobody wants it."""
         caller = call.caller
@@ -499,12 +501,12 @@
         ))
         return caller.pass_on
 
-    def _latency(self, call: Call, exchange: upstream.Exchange) -> float:
+    def _latency(self, call: Call, exchange: Exchange) -> float:
         """How long an attempt has been out, of the time that counts: from the request's last byte on."""
         return max(0.0, self._loop.time() - max(exchange.started, call.request.arrived))
 
     def outcome(
-        self, call: Call, exchange: upstream.Exchange, outcome: Outcome, response: upstream.Response | None
+        self, call: Call, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over: answer with what it brought, and tell the module."""
         call.last = outcome
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -16,10 +16,11 @@
 
 from jaspershelf.model import Repeat
 from lugspur.accept import Acceptor
+from lugspur.backend_connection import BLANKS, HOP_BY_HOP, READ_BUFFER
 from lugspur.body import BODY_MOST, HELD_MOST, Body
 from lugspur.config import Address, Config
+from lugspur.exchange import STUCK, Exchange, Response
 from lugspur.telemetry import Telemetry
-from lugspur.upstream import BLANKS, HOP_BY_HOP, READ_BUFFER, STUCK, Exchange, Response
 
 HEAD_MOST = 64 << 10  # bytes of a request's head
 TICK = 1.25  # seconds between looks at a request that is coming in
--- a/tests/simulation/run.py
+++ b/tests/simulation/run.py
@@ -405,7 +405,8 @@
 
 
 READY_FD = 3
-POLLING = ("lugspur.upstream", "lugspur.unread")  # modules that ask what lies unread on a connection
+# Modules that ask what lies unread on a connection.
+POLLING = ("lugspur.backend_connection", "lugspur.unread")
 STARVED_AFTER = 8.0
 
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,8 +29,8 @@
 
 from jaspershelf.model import Limits
 from lugspur.body import HELD_MOST
+from lugspur.exchange import STUCK
 from lugspur.server import AHEAD_MOST, LINGER, LINGERERS, QUEUED_MOST, Caller
-from lugspur.upstream import STUCK
 
 
 def raw(port: int) -> socket.socket:
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -29,12 +29,14 @@
 )
 
 from jaspershelf.model import Outcome
-from lugspur import upstream
+from lugspur import backend_connection
+from lugspur.backend_connection import Backend as Known
+from lugspur.backend_connection import Connection
 from lugspur.call import Call
+from lugspur.exchange import Exchange
 from lugspur.proxy import Proxy
 from lugspur.server import Caller, Facts, Request
-from lugspur.upstream import Backend as Known
-from lugspur.upstream import Connection, Exchange, Upstream
+from lugspur.upstream import Upstream
 
 PARTIAL = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"  # no length: only an end without a reset ends it
 WRONG = OK.replace(b"done", b"evil")
@@ -166,7 +168,7 @@
     ask: Callable[..., bytes], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It comes too soon after the first, and sooner than this backend has ever answered."""
-    monkeypatch.setattr(upstream, "STRAY_WITHIN", WIDE)
+    monkeypatch.setattr(backend_connection, "STRAY_WITHIN", WIDE)
 
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
@@ -199,7 +201,7 @@
         assert not stray(0.001), "nothing is known of this backend yet"
         known.quickest = 0.05
         assert stray(0.001) and not stray(0.06, 1.0), "an ordinary answer in between"
-        assert [stray(0.001) for _ in range(upstream.STRAYS_MOST + 1)] == [True, True, False]
+        assert [stray(0.001) for _ in range(backend_connection.STRAYS_MOST + 1)] == [True, True, False]
         assert known.quickest == pytest.approx(0.001) and known.doubts == 0
         assert not stray(0.0001), "of a backend as quick as that nothing can be told"
 
@@ -210,7 +212,7 @@
 def test_answers_that_are_as_quick_as_ever_are_the_requests_own(
     within: float, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(upstream, "STRAY_WITHIN", within)
+    monkeypatch.setattr(backend_connection, "STRAY_WITHIN", within)
 
     async def play() -> None:
         async with raw() as one, running([entry("a", one.address)]) as up:
@@ -261,7 +263,7 @@
     """One event, carried out at once."""
     connection = exchange.connection
     if what == "answer" and connection is not None:
-        upstream.READ_BUFFER[:len(OK)] = OK
+        backend_connection.READ_BUFFER[:len(OK)] = OK
         connection.buffer_updated(len(OK))
     elif what == "time":
         exchange.expire()
--- a/tests/test_drain_mutations.py
+++ b/tests/test_drain_mutations.py
@@ -13,9 +13,11 @@
 
 from jaspershelf.model import ListKind
 from lugspur import discovery, proxy
+from lugspur.backend_connection import Connection
 from lugspur.discovery import Discovery
+from lugspur.exchange import Exchange
 from lugspur.proxy import Proxy
-from lugspur.upstream import Connection, Exchange, Upstream
+from lugspur.upstream import Upstream
 
 SEEDS = range(30)  # played until one shows it
 Mutate = Callable[[pytest.MonkeyPatch], None]
--- a/tests/test_first_byte.py
+++ b/tests/test_first_byte.py
@@ -11,8 +11,8 @@
 from loopback import OK, Running, book, entry, read, running, soon, status, until
 from test_crossings_upstream import Raw, once_served, raw
 
+from lugspur.backend_connection import Connection
 from lugspur.body import HELD_MOST
-from lugspur.upstream import Connection
 
 
 def fill(connection: Connection) -> int:
--- a/tests/test_list_faults.py
+++ b/tests/test_list_faults.py
@@ -12,8 +12,9 @@
 
 from jaspershelf.decide import Balancer
 from jaspershelf.model import Action, Cancel, ListKind
+from lugspur.backend_connection import Connection
 from lugspur.discovery import Reader
-from lugspur.upstream import Connection, Exchange
+from lugspur.exchange import Exchange
 
 READER = Reader({"here": 0, "there": 1}, {"k": 0})
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -29,10 +29,11 @@
 )
 
 from jaspershelf.model import Outcome, Refuse
+from lugspur.backend_connection import Backend as Known
 from lugspur.body import Body
+from lugspur.exchange import Exchange, Response
 from lugspur.proxy import ANSWER_EARLY, Proxy
-from lugspur.upstream import Backend as Known
-from lugspur.upstream import Exchange, Response, Upstream
+from lugspur.upstream import Upstream
 
 
 def test_a_request_goes_on_unchanged_and_its_answer_comes_back() -> None:
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -30,7 +30,8 @@
     watches,
 )
 
-from lugspur.upstream import Backend, Connection, Upstream
+from lugspur.backend_connection import Backend, Connection
+from lugspur.upstream import Upstream
 
 ROOT = Path(__file__).parent.parent
 
