A dial that finds no local port counts against its server again: ports run out by destination

Cause: EADDRNOTAVAIL was taken for a fault of the machine. The system's ports run out for one destination, so the others stayed usable, but the server that could not be dialled looked the most idle, was picked again, and retries used up their budget.

Change: it is out of OWN_FAULTS; the test names it among the servers' faults, beside a refused connection.

--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -18,8 +18,9 @@
 
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
 NEWS_READS_MOST = 16  # of the loop, that an attempt waits for: they bring the longest message there may be
-# Why a dial may fail that says nothing of the backend: this machine has no descriptor, memory or port left.
-OWN_FAULTS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL})
+# Why a dial may fail that says nothing of the backend: this machine has no descriptor or memory left.
+# Ports are used up for one destination at a time (EADDRNOTAVAIL), so there the others are the better choice.
+OWN_FAULTS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 
 class Upstream:
--- a/tests/test_dial_faults.py
+++ b/tests/test_dial_faults.py
@@ -10,8 +10,8 @@
 import pytest
 from loopback import OK, backend, entry, read, running, status
 
-OWN = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL]
-THEIRS = [errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT]
+OWN = [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
+THEIRS = [errno.EADDRNOTAVAIL, errno.ECONNREFUSED, errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ETIMEDOUT]
 
 
 @pytest.mark.parametrize(("number", "own"), [(n, n in OWN) for n in (*OWN, *THEIRS)])
