--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -47,6 +47,7 @@
     outcomes: Counter[str]
     away: Counter[str]  # the outcomes of requests sent while discovery was away
     served_after: list[float]  # seconds from each restart to its first request served
+    ready: list[float]  # seconds from each restart to the first yes on /api/ready, where that was asked
     calls: str
     late: float  # seconds that the stand-in discovery was held up, the machine being busy
     untold: int  # pairs of a process and a drain that no message brought before the end
@@ -96,6 +97,7 @@
         drain_rule.violations(stage.changes(), stage.processes(), attempts, drain_rule.Rule(GRACE)),
         len(attempts), outcomes, away,
         list(served_after(stage, harvest)),
+        [life.ready - life.started for life in stage.lives if life.ready < math.inf],
         f"{record.calls} calls, {sum(record.turns)} served, {record.turns.count(False)} after their caller "
         f"had gone, {record.overdue} overdue",
         sum(late.end - late.start for late in stage.late), stage.untold(),
@@ -119,10 +121,12 @@
         lines.append(f"  told by {line}: {len(rows)} breaks, {len(who)} processes ({worst}, ...), late by "
                      f"{min(late):.2f} to {max(late):.2f} s (median {statistics.median(late):.2f})")
     lines.append(f"  requests: {dict(result.outcomes)}; while discovery was away: {dict(result.away)}")
-    if result.served_after:
-        ready = sorted(result.served_after)
-        lines.append(f"  serving after a restart: median {statistics.median(ready):.2f} s, nine in ten "
-                     f"{ready[math.ceil(0.9 * len(ready)) - 1]:.2f} s, all {ready[-1]:.2f} s")
+    for what, seconds in (("serving", result.served_after), ("ready", result.ready)):
+        if seconds:
+            ordered = sorted(seconds)
+            most = ordered[math.ceil(0.9 * len(ordered)) - 1]
+            lines.append(f"  {what} after a restart ({len(ordered)}): median {statistics.median(ordered):.2f} s, "
+                         f"nine in ten {most:.2f} s, all {ordered[-1]:.2f} s")
     return "\n".join(lines)
 
 
--- a/tests/drain_plays.py
+++ b/tests/drain_plays.py
@@ -183,7 +183,7 @@
     await stage.prepare(names)
     before()
     await stage.kill(names)
-    await stage.restart(names)
+    await stage.restart(names, look=True)
 
 
 async def ready_up(stage: Stage) -> None:
--- a/tests/drain_stage.py
+++ b/tests/drain_stage.py
@@ -23,6 +23,7 @@
 SERVER_LATENCY = 0.005
 PREPARE_EVERY = 0.6  # seconds, for so many processes:
 START_TOGETHER = 10  # processes, so that a start leaves the machine to others
+READY_LOOK = 0.05  # seconds between looks whether a restarted process is ready: for few of them
 LATE_LOOK = 0.05
 LATE_MOST = 0.5  # seconds for which this process may be held up; beyond, discovery can't be reached
 HALF_WRITTEN = 0.3  # seconds for which a configuration file stays so
@@ -35,6 +36,7 @@
     name: str
     started: float
     ended: float = math.inf
+    ready: float = math.inf  # where it is looked for
 
 
 def discovery_host(node: Node) -> str:
@@ -177,10 +179,17 @@
             if place % START_TOGETHER == START_TOGETHER - 1:
                 await asyncio.sleep(PREPARE_EVERY)
 
-    async def restart(self, names: Iterable[str]) -> None:
-        """Start them again at once, with the list that was known before any drain."""
+    async def restart(self, names: Iterable[str], look: bool = False) -> None:
+        """Start them again at once, with the list known before any drain; look when they are ready."""
         for name in names:
-            await self._start(name)
+            life = await self._start(name)
+            if look:
+                self.beside(self._look_ready(life))
+
+    async def _look_ready(self, life: Life) -> None:
+        while (await self.fleet.call(life.name, "GET", "/api/ready"))[0] != 200:
+            await asyncio.sleep(READY_LOOK)
+        life.ready = time.monotonic()
 
     async def pause(self, names: Iterable[str], seconds: float) -> None:
         """SIGSTOP, and SIGCONT so much later."""
