--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -125,8 +125,9 @@
         if seconds:
             ordered = sorted(seconds)
             most = ordered[math.ceil(0.9 * len(ordered)) - 1]
-            lines.append(f"  {what} after a restart ({len(ordered)}): median {statistics.median(ordered):.2f} s, "
-                         f"nine in ten {most:.2f} s, all {ordered[-1]:.2f} s")
+            median = statistics.median(ordered)
+            lines.append(f"  {what} after a restart ({len(ordered)}): median {median:.2f}, "
+                         f"nine in ten {most:.2f}, all {ordered[-1]:.2f} s")
     return "\n".join(lines)
 
 
