--- a/tests/test_faults_log.py
+++ b/tests/test_faults_log.py
@@ -48,15 +48,18 @@
     reading, writing = os.pipe()
     with os.fdopen(writing, "w") as full:
         monkeypatch.setattr(sys, "stderr", full)
-        log, done = Log(), threading.Event()
+        log, done, over = Log(), threading.Event(), threading.Event()
 
         def fill() -> None:
             for number in range(200):
+                if over.is_set():
+                    return
                 log.info("event", error=f"{number}", text="x" * 3 * PIECE)
             done.set()
 
         threading.Thread(target=fill, daemon=True).start()
         ended = done.wait(WIDE)
+        over.set()
         os.close(reading)
     assert ended and log.lost > 0
 
