--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 .PHONY: simulation
 simulation:
 	PYTHONPATH=tests $(PYTHON) -m simulation --seeds $(SEEDS) --pairs $(PAIRS) --long --workers 2
+
 # Faults of system calls, each at each place, then pairs from seeds: some ten minutes on four processors. CI has a
 # bounded part of it (tests/test_faults_drain.py). Again: make faults FAULTS='--only "a name that was printed"'.
 FAULTS ?= --seeds 200
--- a/lugspur/interfaces.py
+++ b/lugspur/interfaces.py
@@ -31,9 +31,10 @@
         """What an earlier process has left."""
 
     def open(
-        self, balancer: Balancer, clock: Callable[[], float], incarnation: Callable[[], int], scribe: Executor
+        self, balancer: Balancer, clock: Callable[[], float], incarnation: Callable[[], int],
+        executor: Executor,
     ) -> None:
-        """Keep what the module learns from now on; files are written in the scribe's thread."""
+        """Keep what the module learns from now on; files are written in the executor's thread."""
 
     def figures(self) -> list[str]:
         """Lines of the telemetry."""
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -33,7 +33,7 @@
 from lugspur.exchange import Exchange, Response
 from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.orders import OrderBook, Orders
-from lugspur.scribe import Scribe
+from lugspur.serial_executor import SerialExecutor
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
@@ -61,7 +61,7 @@
         self._config = config
         self._orders = orders or OrderBook(None)
         # Guards the loop: a file's disk may stand still for half a second. One thread keeps orders in order.
-        self._scribe = Scribe()
+        self._file_executor = SerialExecutor()
         self._memory = memory
         self._loop = asyncio.get_running_loop()
         # One epoch for good: the list's times are comparable, and steps of the system's clock do no harm.
@@ -121,7 +121,7 @@
         if self._memory is not None:
             restored = self._memory.load(len(config.settings.classes))
             self._perform(self._decide(self._balancer.restore, *restored))
-            self._memory.open(self._balancer, self._now, self._incarnation, self._scribe)
+            self._memory.open(self._balancer, self._now, self._incarnation, self._file_executor)
         self._perform(self._decide(self._balancer.start))
         if config.settings.discovery is Discovery.PUSHED:
             self._discovery.open()
@@ -333,7 +333,7 @@
         while self._config.listen_fd is not None or self._orders.pending:
             await asyncio.sleep(NOTICE_EVERY)
             try:
-                await self._loop.run_in_executor(self._scribe, self._orders.refresh)
+                await self._loop.run_in_executor(self._file_executor, self._orders.refresh)
                 if self._orders.current != self._obeyed:
                     self._obey(self._orders.current)
                     self._obeyed = self._orders.current
@@ -343,7 +343,7 @@
     async def _order(self, edit: Callable[[Orders], Orders]) -> None:
         """Keep an order, so that a second process obeys it too, and obey it."""
         try:
-            orders = await self._loop.run_in_executor(self._scribe, self._orders.change, edit)
+            orders = await self._loop.run_in_executor(self._file_executor, self._orders.change, edit)
         except OSError as fault:
             self._go_on_noticing()
             raise Rejected(503, f"the order can't be kept: {fault.strerror}") from fault
--- a/lugspur/scribe.py
+++ b/lugspur/serial_executor.py
@@ -11,7 +11,7 @@
 T = TypeVar("T")
 
 
-class Scribe(Executor):
+class SerialExecutor(Executor):
     """Runs calls one after another in one thread, which is started with the first of them.
 
     Guards operators' orders: `ThreadPoolExecutor.submit` keeps a call whose thread could not be started, and
--- a/lugspur/store/keeper.py
+++ b/lugspur/store/keeper.py
@@ -35,7 +35,7 @@
 
     def __init__(self, state_dir: Path, name: str) -> None:
         self._name = name
-        self._scribe: Executor | None = None
+        self._file_executor: Executor | None = None
         self._times = Timeline.here()
         self._store = Store(
             directory_for(state_dir, name), name, self._times.now(), self._fault, self._times
@@ -86,10 +86,11 @@
         return self._incarnation
 
     def open(
-        self, balancer: Balancer, clock: Callable[[], float], incarnation: Callable[[], int], scribe: Executor
+        self, balancer: Balancer, clock: Callable[[], float], incarnation: Callable[[], int],
+        executor: Executor,
     ) -> None:
         """Keep what this module learns from now on; `clock` is the one that it is driven by."""
-        self._scribe = scribe
+        self._file_executor = executor
         self._task = asyncio.get_running_loop().create_task(self._run(balancer, clock, incarnation))
 
     async def _run(
@@ -103,7 +104,7 @@
             if self._store.writing:
                 batch = self._batch(now, balancer, incarnation())
             try:
-                wrote = await loop.run_in_executor(self._scribe, self._write, batch)
+                wrote = await loop.run_in_executor(self._file_executor, self._write, batch)
             except Exception as fault:  # Guards later batches: whatever it is, the next one is tried
                 self.counters["write_errors"] += 1
                 if not self._failing:  # one line a spell
@@ -142,7 +143,7 @@
         return batch
 
     def _write(self, batch: list[Row]) -> int:
-        """In the scribe's thread: add a batch, or try to become the writer."""
+        """In the executor's thread: add a batch, or try to become the writer."""
         if not self._store.writing:
             self._store.claim(self._times.now())
         elif batch:
@@ -159,10 +160,10 @@
         """Let go of the lock, once what is being written is on the disk: the next process writes."""
         if self._task is not None:
             self._task.cancel()
-        if self._scribe is None:
+        if self._file_executor is None:
             return
         try:
-            await asyncio.get_running_loop().run_in_executor(self._scribe, self._store.close)
+            await asyncio.get_running_loop().run_in_executor(self._file_executor, self._store.close)
         except OSError as fault:  # Guards the end: the lock goes with the process
             log.error("state.write_error", node=self._name, error=str(fault))
 
--- a/tests/test_faults_store.py
+++ b/tests/test_faults_store.py
@@ -16,7 +16,7 @@
 from loopback import until
 
 from jaspershelf.model import TierMemory
-from lugspur.scribe import Scribe
+from lugspur.serial_executor import SerialExecutor
 from lugspur.store import frames, keeper
 from lugspur.store.files import CLAIMS_STRICT, Entry, Store, read_state
 from lugspur.store.keeper import Keeper
@@ -152,7 +152,7 @@
         balancer: Any = Learned()
         with injected(Plan([fault])) as plan:
             keeping.load(1)
-            keeping.open(balancer, lambda: NOW, lambda: 9, Scribe())
+            keeping.open(balancer, lambda: NOW, lambda: 9, SerialExecutor())
             await until(lambda: plan.hits == [2] and keeping.counters["batches"] > 0)
         await keeping.close()
         again = Keeper(tmp_path, "n0")
@@ -173,8 +173,8 @@
         keeping.load(1)
         rows = iter([10 ** 40, 10 ** 40, 9])
         balancer: Any = Learned()
-        with ThreadPoolExecutor(1) as scribe:
-            keeping.open(balancer, lambda: NOW, lambda: next(rows, 9), scribe)
+        with ThreadPoolExecutor(1) as executor:
+            keeping.open(balancer, lambda: NOW, lambda: next(rows, 9), executor)
             await until(lambda: keeping.counters["batches"] > 0)
             assert keeping.counters["write_errors"] == 2
             await keeping.close()
@@ -187,7 +187,7 @@
         keeping = Keeper(tmp_path, "n0")
         keeping.load(1)
         balancer: Any = SimpleNamespace()
-        keeping.open(balancer, lambda: NOW, lambda: 0, Scribe())
+        keeping.open(balancer, lambda: NOW, lambda: 0, SerialExecutor())
         with injected(Plan([Fault("thread")])):
             await keeping.close()
 
