--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,4 @@
-"""The decision modules stay small enough to read."""
+"""Modules stay small enough to read."""
 
 import re
 import tomllib
@@ -11,8 +11,12 @@
 
 
 WIRING = {"__init__.py", "adapter.py", "model.py"}  # they decide nothing
-LINES_MOST = {"decide.py": 1100}  # that are not blank; it is being taken apart, and only ever shrinks...
-LINES_MOST_ELSE = 500  # ...as all others have to be
+# Lines that are not blank. Those named here are to be taken apart, and may only shrink; all others have 500.
+LINES_MOST = {
+    "decide.py": 1100, "slopes.py": 585, "overload_model.py": 598, "spread.py": 590, "swim.py": 553,
+    "server.py": 565,
+}
+LINES_MOST_ELSE = 500
 
 
 def faults(name: str, text: str) -> list[str]:
@@ -30,6 +34,13 @@
     assert not any(found.values()), found
 
 
+def test_all_modules_keep_the_limits() -> None:
+    modules = [path for part in ("jaspershelf", "lugspur", "bench") for path in (ROOT / part).rglob("*.py")]
+    found = {path.name: faults(path.name, path.read_text()) for path in modules}
+    assert not any(found.values()), {name: rows for name, rows in found.items() if rows}
+    assert found.keys() >= LINES_MOST.keys(), "a limit for a module that is no more"
+
+
 def test_all_modules_that_decide_are_listed() -> None:
     modules = {path.name for path in (ROOT / "jaspershelf").glob("*.py")} - WIRING
     assert POLICY[0] == "jaspershelf/decide.py"
