A process of the scale lab that is told nothing ends without a traceback

Cause: a lab run that was interrupted before it had written a child's first line left that child to parse an empty one; its traceback failed test_an_interrupted_lab_run_leaves_no_process once, on a busy machine.

--- a/lugspur/lab/rack.py
+++ b/lugspur/lab/rack.py
@@ -221,5 +221,7 @@
 
 if __name__ == "__main__":
     with open(0, "rb", buffering=0, closefd=False) as unbuffered:  # what follows is the loop's to read
-        told = orjson.loads(unbuffered.readline())
-    dilation.run(main(told), told["slow"])
+        line = unbuffered.readline()
+    if line:  # else whoever started it was interrupted before it said what for
+        told = orjson.loads(line)
+        dilation.run(main(told), told["slow"])
