A fault of the membership protocol costs one turn of it, not the rest

Cause, the same as of the task that looks for operators' orders: an exception out of a turn ended the task for good, and with it probes, refutations and shared facts.

Change: a turn that fails is logged, and the next one comes a period later.

--- a/lugspur/cluster/node.py
+++ b/lugspur/cluster/node.py
@@ -200,12 +200,23 @@
             else:
                 self._start()
         while True:
-            self._send(self.scopes.tick(self._loop.time()))
-            wait = max(TICK_LEAST, self.scopes.wake_at() - self._loop.time())
+            wait = self._tick()
             self._wake.clear()
             with suppress(TimeoutError):
                 await asyncio.wait_for(self._wake.wait(), min(wait, self.config.period))
 
+    def _tick(self) -> float:
+        """Do what is due; the seconds until something is due again.
+
+        Guards the protocol: a fault here costs a turn of it, not the rest.
+        """
+        try:
+            self._send(self.scopes.tick(self._loop.time()))
+            return max(TICK_LEAST, self.scopes.wake_at() - self._loop.time())
+        except Exception:
+            log.error("member.fault", exc_info=True)
+            return self.config.period
+
     def _send(self, out: Datagrams) -> None:
         for address, data in out:
             self.send(address, data)
