--- a/tests/test_discovery_overload.py
+++ b/tests/test_discovery_overload.py
@@ -127,6 +127,17 @@
         return len(self.told) == len(self.watches)
 
 
+def one_proxy(patch: pytest.MonkeyPatch) -> tuple[DrivenClock, list[_Watch], Proxies]:
+    """One proxy, and the calls that it makes: each comes up at once and is not answered."""
+    clock, calls = DrivenClock(), list[_Watch]()
+
+    def dial(watch: _Watch) -> None:
+        calls.append(watch)
+        watch.connection_made(FakeTransport())
+
+    return clock, calls, Proxies(clock, 1, dial, patch)
+
+
 @pytest.mark.parametrize("seed", range(10))
 @pytest.mark.parametrize("service", [0.015, 0.03, 0.06])
 @pytest.mark.parametrize("limit", [2.0, 3.0, 1e9])
@@ -191,13 +202,7 @@
 
 
 def test_calls_that_wait_are_bounded_and_the_oldest_keeps_its_place(monkeypatch: pytest.MonkeyPatch) -> None:
-    clock, calls = DrivenClock(), list[_Watch]()
-
-    def dial(watch: _Watch) -> None:
-        calls.append(watch)
-        watch.connection_made(FakeTransport())
-
-    proxies = Proxies(clock, 1, dial, monkeypatch)
+    clock, calls, proxies = one_proxy(monkeypatch)
     proxies.open(0.0, random.Random(1))
     most = 0
 
@@ -217,13 +222,7 @@
 def test_news_of_the_former_address_counts_until_the_new_one_answers(
     way: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    clock, calls = DrivenClock(), list[_Watch]()
-
-    def dial(watch: _Watch) -> None:
-        calls.append(watch)
-        watch.connection_made(FakeTransport())
-
-    proxies = Proxies(clock, 1, dial, monkeypatch)
+    _, calls, proxies = one_proxy(monkeypatch)
     watch = proxies.watches[0]
     watch.open()
     calls[0].data_received(HEAD + chunk(b"\n"))
@@ -240,13 +239,7 @@
 
 
 def test_the_former_address_may_end_while_the_new_one_is_called(monkeypatch: pytest.MonkeyPatch) -> None:
-    clock, calls = DrivenClock(), list[_Watch]()
-
-    def dial(watch: _Watch) -> None:
-        calls.append(watch)
-        watch.connection_made(FakeTransport())
-
-    proxies = Proxies(clock, 1, dial, monkeypatch)
+    _, calls, proxies = one_proxy(monkeypatch)
     watch = proxies.watches[0]
     watch.open()
     calls[0].data_received(HEAD + chunk(b"\n"))
@@ -284,13 +277,8 @@
     answer: bytes, may_answer: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """A new process waits for its list then, as where it is slow; where it refuses at once it is down."""
-    clock, calls = DrivenClock(), list[_Watch]()
-
-    def dial(watch: _Watch) -> None:
-        calls.append(watch)
-        watch.connection_made(FakeTransport())
-
-    watch = Proxies(clock, 1, dial, monkeypatch).watches[0]
+    clock, calls, proxies = one_proxy(monkeypatch)
+    watch = proxies.watches[0]
     watch.open()
     assert watch.may_answer()
     if answer:
