One bound on the looks that unread news is waited for; a method that nothing calls goes

The same constant stood in discovery.py and upstream.py; it is unread.py's now. `Reloader.close` had no caller. Behaviour is as before; the tests of the watch, unread news, reload and the drain mutations pass.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -15,7 +15,7 @@
 from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
 from lugspur.events import log
 from lugspur.message_framing import MessageFramer
-from lugspur.unread import Inbox
+from lugspur.unread import READS_MOST, Inbox
 
 __all__ = ["Discovery", "Endpoint", "Reader", "server_id", "server_name", "worst_waits"]
 
@@ -28,7 +28,6 @@
 DOUBLINGS_MOST = 10  # of the back-off: far beyond its most, and far below what a float holds
 WAITING_MOST = 2  # unanswered calls that are kept beside the newest one...
 WAITING_SPAN = 30.0  # ...each for so many seconds: by then a queue would have moved
-READS_MOST = 16  # of the loop, that the end of a wait is put off for: they bring the longest message
 QUEUED_LEAST = 0.3  # seconds from connecting to a refusal that tell of a queue, not of a service that is down
 
 
--- a/lugspur/reload.py
+++ b/lugspur/reload.py
@@ -49,10 +49,6 @@
             self._attempts = 0
             self._attempt()
 
-    def close(self) -> None:
-        """Read nothing any more."""
-        self._cancel()
-
     def _attempt(self, report: Callable[[ConfigError], None] = lambda _: None) -> None:
         self._retry = None
         signature = self._signature()  # before it is read: what is written meanwhile is a change
--- a/lugspur/unread.py
+++ b/lugspur/unread.py
@@ -5,6 +5,8 @@
 import asyncio
 import select
 
+READS_MOST = 16  # of the loop, that are waited for until all is read: they bring the longest message
+
 
 class Inbox:
     """Connections whose unread bytes matter: one system call asks for all of them, without reading."""
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -14,10 +14,9 @@
 from lugspur.config import Address
 from lugspur.event_loop import EventLoop
 from lugspur.exchange import Exchange
-from lugspur.unread import Inbox
+from lugspur.unread import READS_MOST, Inbox
 
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
-NEWS_READS_MOST = 16  # of the loop, that an attempt waits for: they bring the longest message there may be
 # Why a dial may fail that says nothing of the backend: this machine has no descriptor or memory left.
 # Ports are used up for one destination at a time (EADDRNOTAVAIL), so there the others are the better choice.
 OWN_FAULTS = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
@@ -63,14 +62,14 @@
         exchange.limit(exchange.until)
         self._after_news(self._connect, exchange)
 
-    def _after_news(self, step: Callable[..., None], *args: object, reads: int = NEWS_READS_MOST) -> None:
+    def _after_news(self, step: Callable[..., None], *args: object, reads: int = READS_MOST) -> None:
         """Take a step that acts on the list once the loop has read what lies there of the next one.
 
         Guards the drains: after a stop of the process, or a long turn of the loop, a timer, an answer or a
         dial may come up before the news that was there first. A timer that is due runs after the loop's next
         look at its sockets; `call_soon` would run before what is read in it.
         """
-        first = reads == NEWS_READS_MOST  # one look reads what clients had sent by then
+        first = reads == READS_MOST  # one look reads what clients had sent by then
         if reads and (self.news.unread() or (first and self._is_late())):
             self._loop.call_later(0.0, partial(self._after_news, step, *args, reads=reads - 1))
         else:
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -18,7 +18,6 @@
 
 from jaspershelf.model import Discovery as Mode
 from jaspershelf.model import ListKind
-from lugspur import discovery as module
 from lugspur import message_framing
 from lugspur.discovery import (
     BACKOFF_FIRST,
@@ -32,6 +31,7 @@
     _Watch,
     worst_waits,
 )
+from lugspur.unread import READS_MOST
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TOLD_AFTER, TOLD_AFTER_MOVE = 6.0, 4.0  # seconds, as the operators count
@@ -530,6 +530,6 @@
         watch.inbox.unread = lambda: bool(next(looks))  # type: ignore[method-assign]
         watch._wait(0.0, over.set)
         await soon(over.wait())
-        assert next(looks) == module.READS_MOST + 1
+        assert next(looks) == READS_MOST + 1
 
     asyncio.run(play())
