A trace of each process: watch states, request ids, reasons for closes, retries and refusals

Need: the report can't be explained from the log, which has no dial, message, silence, back-off, close, retry or refusal.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -29,6 +29,7 @@
     ListKind,
     Locality,
     Outcome,
+    Reason,
     Refuse,
     Repeat,
     RequestId,
@@ -811,7 +812,9 @@
         if not taken or not any(self._send(now, request, among, first, out) for among, first in rest):
             if not hopeless:  # its client will hardly try again
                 self.unserved.add(now)
-            self._answer(now, request, out)
+            reason = Reason.NO_SERVER if taken else Reason.ADMISSION
+            reason = Reason.TOO_LITTLE_TIME if hopeless else Reason.SHARED_LIMIT if limited else reason
+            self._answer(now, request, reason, out)
         return out
 
     def _owe(self, request: Request) -> None:
@@ -1048,7 +1051,7 @@
             return False
         return self._send(now, request, self._among(now, request), False, out)
 
-    def _answer(self, now: float, request: Request, out: list[Action]) -> None:
+    def _answer(self, now: float, request: Request, reason: Reason, out: list[Action]) -> None:
         """The final answer: refused where that promise holds, else failed."""
         if request.attempts:
             self.pool_of[request.kind].breaker.failed(now)
@@ -1056,7 +1059,7 @@
         kind = self.settings.classes[request.kind]
         free = kind.repeat is Repeat.SAFE or (kind.repeat is Repeat.KEYED and kind.group is Group.ALL)
         harmless = free or request.first_maybe() is None
-        out.append(Refuse(request.id, self.come_back) if harmless else Fail(request.id))
+        out.append(Refuse(request.id, self.come_back, reason) if harmless else Fail(request.id, reason))
         self._finish(request, out)
 
     def _settle(self, request: Request) -> None:
@@ -1106,7 +1109,7 @@
             self._finish(request, out)
         elif not request.open and not self._again(now, request, out):
             self.unserved.add(now)
-            self._answer(now, request, out)
+            self._answer(now, request, Reason.NO_FURTHER_ATTEMPT, out)
         return out
 
     def _count_served(self, now: float, request: Request) -> None:
--- a/jaspershelf/model.py
+++ b/jaspershelf/model.py
@@ -70,6 +70,17 @@
     VOID = "void"
 
 
+class Reason(Enum):
+    """Why a request is refused or failed without an answer of a server; for the trace alone."""
+
+    UNSAID = "unsaid"
+    TOO_LITTLE_TIME = "too little time is left"
+    SHARED_LIMIT = "over the limit that the members share"
+    ADMISSION = "admission control"
+    NO_SERVER = "no server may be picked"
+    NO_FURTHER_ATTEMPT = "its attempts failed and no further one is allowed"
+
+
 #: Outcomes that prove that the attempt never ran.
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID})
 
@@ -369,6 +380,7 @@
 
     request: RequestId
     retry_after: float = 0.0
+    reason: Reason = field(default=Reason.UNSAID, compare=False)
 
 
 @dataclass(slots=True)
@@ -376,6 +388,7 @@
     """Final answer: failed, with no promise."""
 
     request: RequestId
+    reason: Reason = field(default=Reason.UNSAID, compare=False)
 
 
 @dataclass(slots=True)
--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -21,6 +21,7 @@
 from lugspur.proxy import Proxy
 from lugspur.reload import Reloader
 from lugspur.server import Front
+from lugspur.trace import trace
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
 LISTEN_QUIET = 0.1  # ...until none has come for so long
@@ -34,8 +35,13 @@
     """Run until SIGTERM, then finish what was taken."""
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
+
+    def end_of_service(number: signal.Signals) -> None:
+        trace.record("process.signal", name=number.name)
+        told.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, end_of_service, number)
     orders, keeper = OrderBook(path_for(os.environ, config.name)), None
     if config.state_dir is not None:
         from lugspur.store.bans import DurableOrders  # Guards start and memory, as below.
@@ -48,6 +54,9 @@
         except OSError as fault:  # the orders stay where they are without a state directory
             log.error("orders.fault", file=str(config.state_dir), error=str(fault.strerror))
 
+    trace.record("process.started", listen=config.listen, discovery=config.discovery,
+                 mode=config.settings.discovery.value, known=config.known.get("index"),
+                 drain_grace=config.settings.rules.drain_grace, ask_within=config.settings.rules.ask_within)
     proxy = Proxy(config, orders, keeper)
     reloader = reloader_for(proxy, os.environ)
     loop.add_signal_handler(signal.SIGHUP, reloader.request)
@@ -79,6 +88,7 @@
                 await node.close()
             return
     listener = await front.listen()
+    trace.record("process.listening", loaded=front.loaded.is_set())
     gc.collect()
     gc.freeze()
     await told.wait()
@@ -93,6 +103,8 @@
         await proxy.admin.finish()
     if keeper is not None:
         await keeper.close()
+    trace.record("process.ended")
+    trace.flush()
 
 
 async def first_of(*events: Coroutine[Any, Any, Any]) -> None:
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -13,6 +13,7 @@
 from lugspur.body import HELD_MOST
 from lugspur.config import Address
 from lugspur.exchange import Exchange, Response
+from lugspur.trace import trace
 
 if TYPE_CHECKING:
     from lugspur.upstream import Upstream
@@ -95,8 +96,9 @@
         request = head + body if body is not None else head
         self._transport.write(request)
         if self._transport.get_write_buffer_size() >= len(request):
-            self.abandon()
+            self.abandon("the socket takes nothing")
             return False
+        trace.record("attempt.sent", id=exchange.name, n=exchange.number, fresh=self.is_fresh())
         self.exchange = exchange
         exchange.connection = self
         if body is None:
@@ -163,8 +165,10 @@
         except OSError:
             return False
 
-    def abandon(self) -> None:
+    def abandon(self, reason: str) -> None:
         """Close at once, unsent bytes dropped."""
+        if not self._transport.is_closing():
+            trace.record("backend.closed", to=self._to[0], reason=reason)
         self.exchange = None
         self._transport.abort()
 
@@ -189,12 +193,12 @@
         if self.exchange is not None:
             self.exchange.broke()
         else:
-            self.abandon()
+            self.abandon("what came is no answer")
 
     def on_message_begin(self) -> None:
         self._begin()
         if self.exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
-            self._transport.abort()
+            self.abandon("an answer that nobody asked for")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
@@ -289,5 +293,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._upstream.lost(self)
+        if not self._transport.is_closing() or exc is not None:
+            trace.record("backend.lost", to=self._to[0], error=repr(exc))
         if self.exchange is not None:
             self.exchange.broke()
--- a/lugspur/backend_list.py
+++ b/lugspur/backend_list.py
@@ -9,6 +9,7 @@
 from lugspur.backend_connection import Backend
 from lugspur.endpoints import Endpoint, server_name
 from lugspur.events import log
+from lugspur.trace import NAMES_MOST, trace
 from lugspur.upstream import Upstream
 
 
@@ -22,12 +23,18 @@
 
     def withdraw(self, kind: ListKind, told: Mapping[ServerId, Endpoint]) -> None:
         """Take out of service what a message says is not to be used, or what a whole list leaves out."""
+        withdrawn = []
         for server, backend in self.backends.items():
-            endpoint = told.get(server)
+            was_in_service, endpoint = backend.in_service, told.get(server)
             if endpoint is None:
                 backend.in_service &= kind is ListKind.PATCH
             elif endpoint.row.state is not State.UP:
                 backend.in_service = False
+            if was_in_service and not backend.in_service:
+                withdrawn.append(server)
+        if withdrawn:
+            names = [server_name(server) for server in withdrawn[:NAMES_MOST]]
+            trace.record("list.withdrawn", kind=kind.value, count=len(withdrawn), servers=names)
 
     def follow(self, kind: ListKind, told: Mapping[ServerId, Endpoint]) -> None:
         """Follow a message, once the module has it; a backend that fails is logged, and the others go on."""
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -30,7 +30,8 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "_owner", "caller", "deadline", "exchanges", "facts", "last", "passing", "request", "rid", "timer",
+        "_owner", "caller", "deadline", "exchanges", "facts", "last", "passing", "reason", "request", "rid",
+        "timer",
     )
 
     def __init__(self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller) -> None:
@@ -44,6 +45,12 @@
         self.last = Outcome.VOID  # how its latest attempt ended
         self.passing = False  # its answer is passed on as it comes
         self.timer: asyncio.TimerHandle | None = None
+        self.reason = ""  # why its answer is none of a server's; for the trace
+
+    @property
+    def name(self) -> bytes:
+        """The id that its client gave it."""
+        return self.request.headers.get(b"x-request-id", b"")
 
     def head_for(self, left: float) -> bytes:
         """The request's head as it goes to a backend that is waited for so many seconds."""
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -15,6 +16,7 @@
 from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
 from lugspur.events import log
 from lugspur.message_framing import MessageFramer
+from lugspur.trace import trace
 from lugspur.unread import READS_MOST, Inbox
 
 __all__ = ["Discovery", "Endpoint", "Reader", "server_id", "server_name", "worst_waits"]
@@ -31,6 +33,9 @@
 QUEUED_LEAST = 0.3  # seconds from connecting to a refusal that tell of a queue, not of a service that is down
 
 
+_NUMBERS = itertools.count(1)  # of watches, in the trace
+
+
 def worst_waits() -> dict[str, float]:
     """The longest waits in seconds, by what went on when discovery had the news and could be reached.
 
@@ -90,6 +95,7 @@
         """Follow discovery at another address, from where the list is now."""
         if address == self._address:
             return
+        trace.record("discovery.moved", address=address, before=self._address)
         self._address = address
         if self._due is None:
             return
@@ -98,12 +104,12 @@
         if followed is not None and followed.address == address:  # moved back before the other one answered
             self._follow(followed)
         else:
-            self._drop(but=followed)
+            self._drop("another address", but=followed)
             self._call()
 
     def close(self) -> None:
         """End the watch: idle again, until `open`."""
-        self._drop()
+        self._drop("closed")
         if self._due is not None:
             self._due.cancel()
             self._due = None
@@ -135,6 +141,8 @@
         if text.strip():
             message = self._reader.message(text)
             self._count_unreadable(message)
+            trace.record("discovery.list", index=message.index, before=self.index, kind=message.kind.value,
+                         entries=len(message.entries), unreadable=message.unreadable)
             kind, index = message.kind, message.index
             endpoints = self._table.apply(self._clock(), message)
             if index is None:
@@ -175,17 +183,18 @@
         """Dial, and ask for the watch."""
         self._prune()
         self._watch = watch = _Watch(self, self._address, self.index)
-        self._wait(DIAL_MOST, self._over, watch)
+        watch.note("dial", address=self._address, since=self.index)
+        self._wait(DIAL_MOST, self._over, watch, "the connection did not come up")
         watch.dial(self._address)
 
     def _prune(self) -> None:
         """Let go of calls that have waited in vain; the oldest is the next in discovery's queue."""
         for watch in tuple(self._waiting):
             if watch.unanswered() and self._age(watch) > WAITING_SPAN:
-                self._let_go(watch)
+                self._let_go(watch, "waited in vain")
         unanswered = [watch for watch in self._waiting if watch.unanswered()]
         for watch in unanswered[1:-1][:max(0, len(unanswered) - WAITING_MOST)]:
-            self._let_go(watch)
+            self._let_go(watch, "one of too many that wait")
 
     def _age(self, watch: _Watch) -> float:
         """Seconds since its connection came up; 0 before."""
@@ -196,12 +205,14 @@
 
     def _connected(self, watch: _Watch) -> None:
         watch.connected_at = self._clock()
+        watch.note("connected")
         if watch is self._watch:
             self._wait(CALL_MOST - DIAL_MOST, self._unanswered, watch)
 
     def _unanswered(self, watch: _Watch) -> None:
         """Leave a call where it waits, and make another beside it."""
         if watch is self._watch:
+            watch.note("unanswered", accepted=watch.accepted)
             self._watch = None
             self._waiting.append(watch)
             self._back_off()
@@ -218,28 +229,29 @@
         """Follow this watch, alone, until it falls silent or ends."""
         watch.following = True
         if watch is not self._watch or self._waiting:
-            self._drop(but=watch)
+            self._drop("another call was answered", but=watch)
             self._waiting.remove(watch)
             self._watch = watch
         self._up_last = False
-        self._wait(SILENT, self._over, watch)
+        self._wait(SILENT, self._over, watch, "silent")
 
     def _start_over(self) -> None:
         """Discovery has lost its state: ask for all that it has now, and believe that."""
         log.warning("discovery.restored", index=self.index)
         self._table.restart(self.index)
         self.index = 0
-        self._drop()
+        self._drop("discovery has lost its state")
         self._call()
 
-    def _over(self, watch: _Watch) -> None:
+    def _over(self, watch: _Watch, reason: str = "told to") -> None:
         """This watch is no good any more; what an earlier one still has to say is no news."""
         if watch not in self._open_watches():
             return
+        watch.note("over", reason=reason, accepted=watch.accepted, followed=watch.following)
         queued = self._age(watch) >= QUEUED_LEAST
         self._up_last = watch.unanswered() and (queued or watch.accepted)
         if watch is not self._watch:
-            self._let_go(watch)
+            self._let_go(watch, reason)
             return
         self._watch = None
         watch.close()
@@ -248,19 +260,23 @@
     def _back_off(self) -> None:
         most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self.failures, DOUBLINGS_MOST))
         self.failures += 1
-        self._wait(most * (0.5 + 0.5 * random.random()), self._call)
+        wait = most * (0.5 + 0.5 * random.random())
+        trace.record("discovery.back_off", seconds=round(wait, 3), failures=self.failures)
+        self._wait(wait, self._call)
         self._failed()
 
-    def _let_go(self, watch: _Watch) -> None:
+    def _let_go(self, watch: _Watch, reason: str) -> None:
+        watch.note("let_go", reason=reason)
         self._waiting.remove(watch)
         watch.close()
 
-    def _drop(self, but: _Watch | None = None) -> None:
+    def _drop(self, reason: str = "told to", but: _Watch | None = None) -> None:
         """Close all connections but this one, which waits from now on."""
         watches = self._open_watches()
         self._waiting, self._watch = [watch for watch in watches if watch is but], None
         for watch in watches:
             if watch is not but:
+                watch.note("let_go", reason=reason)
                 watch.close()
 
 
@@ -269,6 +285,7 @@
 
     def __init__(self, discovery: Discovery, address: Address, since: int) -> None:
         self.address = address
+        self.number = next(_NUMBERS)
         self.connected_at: float | None = None  # by the discovery's clock
         self.accepted = False  # discovery has begun to answer
         self.following = False  # it has told a message
@@ -281,6 +298,11 @@
         self._transport: asyncio.Transport | None = None
         self._dial: asyncio.Task[object] | None = None
         self._closed = False
+        self._heard = False  # a byte has come
+
+    def note(self, event: str, **fields: object) -> None:
+        """Put what becomes of this watch into the trace."""
+        trace.record(f"discovery.{event}", watch=self.number, **fields)
 
     def unanswered(self) -> bool:
         """Whether discovery has accepted it and told nothing yet."""
@@ -293,8 +315,9 @@
         self._dial.add_done_callback(self._dialled)
 
     def _dialled(self, dial: asyncio.Task[object]) -> None:
-        if not dial.cancelled() and dial.exception() is not None:
-            self._discovery._over(self)
+        fault = None if dial.cancelled() else dial.exception()
+        if fault is not None:
+            self._discovery._over(self, f"no connection: {fault!r}"[:200])
 
     def close(self) -> None:
         """End it; nothing more is told."""
@@ -317,15 +340,18 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._discovery.inbox.discard(self._transport)
-        self._discovery._over(self)
+        self._discovery._over(self, "ended" if exc is None else f"broken: {exc!r}"[:200])
 
     def data_received(self, data: bytes) -> None:
         if self._closed:
             return
+        if not self._heard:
+            self._heard = True
+            self.note("first_byte")
         try:
             self._parser.feed_data(data)
         except Exception as fault:  # Guards against a malformed list: the last one stays.
-            self._discovery._over(self)
+            self._discovery._over(self, f"malformed: {fault.__context__ or fault!r}"[:200])
             log.warning("discovery.fault", error=repr(fault.__context__ or fault))
 
     # ---- the parser's calls ------------------------------------------------------------------
@@ -334,7 +360,7 @@
         if self._parser.get_status_code() == 200:
             self.accepted = True
         else:
-            self._discovery._over(self)
+            self._discovery._over(self, f"status {self._parser.get_status_code()}")
 
     def on_body(self, body: bytes) -> None:
         for text in self._framer.feed(body):
@@ -344,8 +370,9 @@
         text = self._framer.finish()  # an answer that is no watch need not end its only line
         if text is not None:
             self._told(text)
-        self._discovery._over(self)
+        self._discovery._over(self, "the answer is complete")
 
     def _told(self, text: bytes) -> None:
         if not self._closed:
+            self.note("message" if text.strip() else "alive", bytes=len(text))
             self._discovery._message(self, text)
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -45,8 +45,8 @@
     """One attempt on the wire: from its start to its one outcome."""
 
     __slots__ = (
-        "backend", "body", "connection", "dial", "head", "number", "once", "open", "pass_on", "paused",
-        "started", "until", "_client", "_loop", "_moved", "_timer",
+        "backend", "body", "connection", "dial", "head", "name", "number", "once", "open", "pass_on",
+        "paused", "started", "until", "_client", "_loop", "_moved", "_timer",
     )
 
     def __init__(
@@ -54,6 +54,7 @@
         head: Callable[[float], bytes], body: Body, once: bool = False,
     ) -> None:
         self.number = number
+        self.name = b""  # of its request, in the trace
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which it is waited for
@@ -80,7 +81,7 @@
             self.dial.cancel()
         if self.connection is not None:
             self.body.detach(self.connection)
-            self.connection.abandon()
+            self.connection.abandon(f"its attempt is over: {outcome.value}")
             self.connection = None
         self._client.ended(self, outcome, response)
 
--- a/lugspur/lab/hollow.py
+++ b/lugspur/lab/hollow.py
@@ -186,10 +186,10 @@
         if self.index != before:
             self._member.tap.heard("version")
 
-    def _over(self, watch: Any) -> None:
+    def _over(self, watch: Any, reason: str = "told to") -> None:
         if watch is self._watch:
             self.following = False
-        super()._over(watch)
+        super()._over(watch, reason)
 
     def _listed(self, kind: ListKind, endpoints: list[Endpoint]) -> None:
         if endpoints or kind is not ListKind.PATCH:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -37,6 +37,7 @@
 from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
+from lugspur.trace import trace
 from lugspur.upstream import Upstream
 
 if TYPE_CHECKING:
@@ -283,6 +284,8 @@
         if self._loop.time() < latest and self._discovery.may_answer():
             self._loop.call_later(KNOWN_LOOK_EVERY, self._serve_by_known, latest)
         else:
+            if not self.front.loaded.is_set():
+                trace.record("list.known_serves", may_answer=self._discovery.may_answer())
             self._loaded()
 
     def _members(self, kind: ListKind, endpoints: list[discovery.Endpoint]) -> None:
@@ -364,6 +367,7 @@
             request.body.arrived = lambda: self._arrived(call)
             request.body.let_go = lambda: self._perform(self._decide(self._balancer.bind, call.rid))
         if self._holds:
+            trace.record("request.held", id=call.name)
             # Guards against servers that were drained or removed while no process ran: the list is coming.
             self._held.append(call)
         else:
@@ -397,6 +401,7 @@
             exchange.limit(call.deadline)
 
     def _gone(self, call: Call) -> None:
+        trace.record("request.client_left", id=call.name, attempts=len(call.exchanges))
         self._settle(call)
         self._perform(self._decide(self._balancer.gone, call.rid, call=call))
         if call.passing or not call.request.body.whole:
@@ -406,6 +411,7 @@
 
     def _overdue(self, call: Call) -> None:
         """The client's time is up: an answer is owed now, whatever the module says."""
+        call.reason = "its time is up"
         for exchange in tuple(call.exchanges):
             exchange.expire()
         if call.caller is not None:
@@ -423,6 +429,8 @@
         self._settle(call)
         if caller is None:
             return
+        trace.record("request.answered", id=call.name, status=status, reason=call.reason,
+                     attempts=len(call.exchanges))
         if call.passing:
             caller.cut()
         else:
@@ -468,9 +476,11 @@
         elif isinstance(action, Cancel):
             call.exchanges[action.attempt].end(Outcome.CANCELLED)
         elif isinstance(action, Refuse):
+            call.reason = action.reason.value
             head = b"Retry-After: %.3f\r\n" % action.retry_after if action.retry_after > 0.0 else b""
             self._answer(call, 503, head, b"refused\n")
         else:
+            call.reason = action.reason.value
             self._answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def _send(self, call: Call, action: Send) -> None:
@@ -480,6 +490,8 @@
             call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
             call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
+        exchange.name = call.name
+        self._trace_attempt(call, exchange, action)
         call.exchanges.append(exchange)
         try:
             self._upstream.start(exchange)
@@ -487,6 +499,14 @@
             exchange.broke()  # Guards the request: the module waits for how this attempt ends.
             raise
 
+    def _trace_attempt(self, call: Call, exchange: Exchange, action: Send) -> None:
+        reason = "first"
+        if call.exchanges:
+            hedged = any(earlier.open for earlier in call.exchanges)
+            reason = "hedged" if hedged else f"retry after {call.last.value}"
+        trace.record("attempt.chosen", id=call.name, n=exchange.number, reason=reason,
+                     server=discovery.server_name(action.server))
+
     def pass_on(
         self, call: Call, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
@@ -512,6 +532,7 @@
         self, call: Call, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over: answer with what it brought, and tell the module."""
+        trace.record("attempt.ended", id=call.name, n=exchange.number, outcome=outcome.value)
         call.last = outcome
         if outcome is Outcome.OK and exchange.pass_on is not None:
             self._finish(call)
--- a/lugspur/reload.py
+++ b/lugspur/reload.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from lugspur.config import Address, ConfigError
+from lugspur.trace import trace
 
 RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between attempts to read the file, doubling
 DOUBLINGS_MOST = 8  # of that wait: far beyond its most
@@ -38,6 +39,7 @@
 
     def request(self) -> None:
         """Read the file now, and again until it can be read."""
+        trace.record("process.signal", name="SIGHUP")
         self._cancel()
         self._attempts = 0
         self._attempt(self._report)
@@ -55,12 +57,14 @@
         try:
             address = self._read()
         except ConfigError as fault:
+            trace.record("config.unreadable", reason=str(fault)[:200], attempts=self._attempts)
             report(fault)
             wait = min(RETRY_MOST, RETRY_FIRST * 2.0 ** min(self._attempts, DOUBLINGS_MOST))
             self._attempts += 1
             self._retry = asyncio.get_running_loop().call_later(wait, self._attempt)
             return
         self._seen = signature
+        trace.record("config.read", discovery=address)
         self._move(address)
 
     def _signature(self) -> Signature | None:
--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -21,6 +21,7 @@
 from lugspur.config import Address, Config
 from lugspur.exchange import STUCK, Exchange, Response
 from lugspur.telemetry import Telemetry
+from lugspur.trace import trace
 
 HEAD_MOST = 64 << 10  # bytes of a request's head
 TICK = 1.25  # seconds between looks at a request that is coming in
@@ -200,7 +201,7 @@
         self.closing = True
         for caller in tuple(self.waiting):
             if not caller.begun:  # Guards requests on their way in: their answers close the connection.
-                caller.close()
+                caller.close("idle, and the process lets its callers go")
 
     def classify(self, request: Request) -> Facts:
         """Read what the decisions need; raises Rejected where it is malformed or unknown."""
@@ -268,9 +269,10 @@
         front.last_accept = self._loop.time()
         front.callers.add(self)
         if front.crowded() and front.waiting:
-            next(iter(front.waiting)).close()  # Guards the limit on sockets: idle connections make room...
+            # Guards the limit on sockets: idle connections make room...
+            next(iter(front.waiting)).close("idle, and there are too many")
         if len(front.callers) > front.most + LINGERERS and front.lingering:
-            next(iter(front.lingering)).abort()  # ...at once where too many of them linger.
+            next(iter(front.lingering)).abort("too many linger")  # ...at once where too many of them linger.
         front.waiting[self] = None
         self._watch()
 
@@ -283,7 +285,7 @@
     def eof_received(self) -> None:
         """The caller has gone: nothing of it is taken up any more, whatever is still to be written."""
         self._leave()
-        self.close()
+        self.close("its caller has closed")
 
     def _leave(self) -> None:
         self._front.waiting.pop(self, None)
@@ -296,7 +298,7 @@
         if gone is not None:
             gone()
 
-    def close(self) -> None:
+    def close(self, reason: str = "told to") -> None:
         """Lingering close: end the sending, once all is out, and read on for a while before the end.
 
         Guards the last answer: to close over unread bytes resets the connection, and the answer is lost with
@@ -305,6 +307,7 @@
         self._front.waiting.pop(self, None)
         if self in self._front.lingering:
             return
+        trace.record("caller.closed", reason=reason, queued=len(self._queue))
         self._front.lingering[self] = None
         self._take_no_more()
         self._queue.clear()
@@ -312,7 +315,7 @@
         try:
             self._transport.write_eof()
         except OSError:  # the caller has reset it, and the loop has not read that yet
-            self.abort()
+            self.abort("its caller has reset it")
             return
         self._unsent, self._ticks = -1, 0
         self._linger()
@@ -323,12 +326,16 @@
         self._ticks = self._ticks + 1 if unsent == self._unsent else 0
         self._unsent = unsent
         if self._ticks * LINGER >= (STUCK if unsent else LINGER):
+            if unsent:
+                trace.record("caller.stuck", unsent=unsent)
             self.abort()
         else:
             self._limit = self._loop.call_later(LINGER, self._linger)
 
-    def abort(self) -> None:
-        """End it at once; it counts no more from here on."""
+    def abort(self, reason: str = "") -> None:
+        """End it at once; it counts no more from here on. No reason: it is the end of a lingering close."""
+        if reason:
+            trace.record("caller.aborted", reason=reason)
         self._front.callers.discard(self)
         self._front.lingering.pop(self, None)
         self._transport.abort()
@@ -408,7 +415,7 @@
             return
         if not self.begun:
             self._unwatch()
-            self.close()
+            self.close("it has sent nothing")
             return
         self._reject(408, "the request took too long")
         self._next()
@@ -551,6 +558,8 @@
         try:
             self._dispatch(request)
         except Rejected as fault:
+            trace.record("request.rejected", id=request.headers.get(b"x-request-id", b""),
+                         status=fault.status, reason=fault.reason)
             self.answer(fault.status, b"", fault.reason.encode() + b"\n")
 
     def _dispatch(self, request: Request) -> None:
@@ -633,7 +642,7 @@
         self._count_ended()
         self.gone = self._source = self._serving = None
         if not keep:
-            self.close()
+            self.close(self._closing_reason(status))
             return
         self._front.waiting[self] = None
         self._transport.resume_reading()
@@ -642,6 +651,12 @@
         elif self._continue_due:
             self._say_continue()
 
+    def _closing_reason(self, status: int) -> str:
+        """Why its connection does not outlive an answer with this status."""
+        if self._front.closing:
+            return "answered, and the process lets its callers go"
+        return f"answered {status}, and it takes no more or its caller wants no other"
+
     def _count_taken(self) -> None:
         self._taken = True
         self._front.telemetry.concurrent += 1
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -42,7 +42,7 @@
         self._most = max(1, self._whole // 2)
         beyond = self._dialling + self._connected - self._most
         for connection in tuple(islice(self._idle, max(0, beyond))):
-            self._drop(connection)
+            self._drop(connection, "room for the other process")
 
     def restore(self) -> None:
         """The limit is this process's alone."""
@@ -55,7 +55,7 @@
         # Guards against requests on connections to a process or a place that is no more.
         if moved or not in_service:
             for connection in tuple(backend.idle):
-                self._drop(connection)
+                self._drop(connection, "its server moved" if in_service else "its server is withdrawn")
 
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
@@ -94,7 +94,7 @@
             if not self._idle:
                 self._loop.call_soon(exchange.end, Outcome.UNREACHABLE)
                 return
-            self._drop(next(iter(self._idle)))
+            self._drop(next(iter(self._idle)), "room for another connection")
         exchange.dial = self._loop.create_task(self._dial(exchange))
 
     def _idle_connection(self, exchange: Exchange) -> Connection | None:
@@ -108,7 +108,7 @@
             self._forget(connection)
             if connection.usable() and connection.quiet():
                 return connection
-            connection.abandon()
+            connection.abandon("idle, and ended or not quiet")
         return None
 
     async def _dial(self, exchange: Exchange) -> None:
@@ -140,7 +140,7 @@
             self._loop.call_soon(exchange.end, Outcome.VOID)
             return
         if not connection.usable():
-            connection.abandon()
+            connection.abandon("not usable once dialled")
             exchange.end(Outcome.UNREACHABLE)
             return
         if connection.send(exchange, exchange.head(left)):
@@ -154,7 +154,7 @@
         """Keep a connection for the next exchange."""
         backend = connection.backend
         if not backend.in_service or not connection.usable():
-            connection.abandon()
+            connection.abandon("not to be kept: its server is withdrawn, moved or has closed")
             return
         connection.idle_since = self._loop.time()
         backend.idle.append(connection)
@@ -178,9 +178,9 @@
             del self._idle[connection]
             connection.backend.idle.remove(connection)
 
-    def _drop(self, connection: Connection) -> None:
+    def _drop(self, connection: Connection, reason: str) -> None:
         self._forget(connection)
-        connection.abandon()
+        connection.abandon(reason)
 
     def _sweep(self) -> None:
         """Close what has been idle for long: a request that meets the backend's own close is lost."""
@@ -189,4 +189,4 @@
         for connection in tuple(self._idle):
             if connection.idle_since > latest:
                 break
-            self._drop(connection)
+            self._drop(connection, "idle for long")
