Tests that read a process's complaints pass over its trace; a client's own close leaves no record

Cause: four tests took the first line on standard error for the complaint, where records of the trace come first now; they look for the same complaint, and for no other, among the lines that are no records. In-process tests write no trace, as its timer would run on the loops that tests drive. A poll of /healthz that closes made 300 records a second: the client's own close is no reason of the proxy's.

--- a/lugspur/server.py
+++ b/lugspur/server.py
@@ -285,7 +285,7 @@
     def eof_received(self) -> None:
         """The caller has gone: nothing of it is taken up any more, whatever is still to be written."""
         self._leave()
-        self.close("its caller has closed")
+        self.close("")
 
     def _leave(self) -> None:
         self._front.waiting.pop(self, None)
@@ -301,13 +301,16 @@
     def close(self, reason: str = "told to") -> None:
         """Lingering close: end the sending, once all is out, and read on for a while before the end.
 
+        An empty reason is that its caller ended it, which the trace needs no record of.
+
         Guards the last answer: to close over unread bytes resets the connection, and the answer is lost with
         it. What is read from here on is never taken up.
         """
         self._front.waiting.pop(self, None)
         if self in self._front.lingering:
             return
-        trace.record("caller.closed", reason=reason, queued=len(self._queue))
+        if reason:
+            trace.record("caller.closed", reason=reason, queued=len(self._queue))
         self._front.lingering[self] = None
         self._take_no_more()
         self._queue.clear()
@@ -640,9 +643,10 @@
         if self._kind is not None:
             self._front.telemetry.answered(self._kind, status)
         self._count_ended()
-        self.gone = self._source = self._serving = None
+        request, self._serving = self._serving, None
+        self.gone = self._source = None
         if not keep:
-            self.close(self._closing_reason(status))
+            self.close(self._closing_reason(status, request))
             return
         self._front.waiting[self] = None
         self._transport.resume_reading()
@@ -651,11 +655,13 @@
         elif self._continue_due:
             self._say_continue()
 
-    def _closing_reason(self, status: int) -> str:
-        """Why its connection does not outlive an answer with this status."""
+    def _closing_reason(self, status: int, request: Request | None) -> str:
+        """Why its connection ends with an answer of this status; empty where its caller wants that."""
         if self._front.closing:
             return "answered, and the process lets its callers go"
-        return f"answered {status}, and it takes no more or its caller wants no other"
+        if request is not None and not request.keep_alive and request.fault is None:
+            return ""
+        return f"answered {status}, and what follows is not to be read"
 
     def _count_taken(self) -> None:
         self._taken = True
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,9 @@
 import pytest
 from known_red import check, parse
 
+from lugspur.events import Log
+from lugspur.trace import trace
+
 FILE = Path(__file__).parent.parent / "KNOWN-RED.txt"
 KNOWN = pytest.StashKey[list[str]]()
 
@@ -30,3 +33,14 @@
     """Print them, whatever the run was."""
     for line in config.stash.get(KNOWN, []):
         terminalreporter.write_line(f"KNOWN RED {line}")
+
+
+@pytest.fixture(autouse=True)
+def quiet_trace(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Proxies in the test's own process write no trace: its timer would run on the loops that tests drive.
+
+    Processes that a test starts write theirs, and `test_trace.py` makes its own.
+    """
+    muted = Log()
+    muted.muted = True
+    monkeypatch.setattr(trace, "_target", muted)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import re
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
@@ -23,6 +24,7 @@
 NEVER_RAN = b"HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 MAY_HAVE_RUN = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
 CLOSE = b""  # a script's word for: close without an answer
+TRACED = re.compile(rb'\{"at":[0-9.]+,.*"trace":"[a-z]+\.[a-z_]+"')  # a record of the trace
 T = TypeVar("T")
 
 WIRE: dict[str, Any] = {
@@ -44,6 +46,18 @@
     return await asyncio.wait_for(what, WIDE)
 
 
+def untraced(text: bytes) -> bytes:
+    """What a process has written to standard error, without the records of its trace."""
+    return b"".join(line for line in text.splitlines(keepends=True) if not TRACED.match(line))
+
+
+async def complaint(reader: asyncio.StreamReader) -> bytes:
+    """The next line on standard error that is no record of the trace."""
+    while (line := await soon(reader.readline())) and not untraced(line):
+        pass
+    return line
+
+
 async def until(holds: Callable[[], bool]) -> None:
     """Wait for something that has no event of its own."""
     async with asyncio.timeout(WIDE):
