Failing test: a fleet calls a discovery that fails what has waited, and is never told again

Change: stations of the simulation fail a call when its time is over and keep its work (they did a fifth of it, at its turn), may have a bounded queue, and may hold calls while down. The rule lets a server be used again once its return is told, not from when discovery has it. Four fleet faults.

--- a/tests/drain_rule.py
+++ b/tests/drain_rule.py
@@ -36,6 +36,9 @@
             upgrade" (D).
 
 "Where another sentence gives an earlier time, that one holds" (S): hence the minimum.
+
+A server that comes back may be used again once that is told, by the same lines, and not from when discovery
+has it: a process that missed both changes knows neither.
 """
 
 from __future__ import annotations
@@ -235,8 +238,10 @@
         own = [change for change in ledger if change.server == server]
         for place, change in enumerate(own):
             if not change.usable:
-                back = next((later.at for later in own[place + 1:] if later.usable), math.inf)
-                bans.setdefault(server, []).append(_Ban(told(change, process, rule), change.at, back))
+                later = (told(other, process, rule).at for other in own[place + 1:] if other.usable)
+                bans.setdefault(server, []).append(
+                    _Ban(told(change, process, rule), change.at, next(later, math.inf))
+                )
     for order in process.exclusions:
         bans.setdefault(order.server, []).append(
             _Ban(Told(order.told(), "excluded"), order.called, order.included)
--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -10,20 +10,22 @@
 
 from collections.abc import Sequence
 
-from simulation.faults import FAULTS, FLEET, FLEET_PROCESSES, LEAVES, LONG
+from simulation.faults import FAULTS, FLEET, FLEET_PROCESSES, IMPATIENT, LEAVES, LONG
 from simulation.run import MOST_DELAY, Plan, Verdict, simulate
 
 
 def play(seed: int, names: Sequence[str]) -> Verdict:
-    """Play this seed with these faults, one or two of `faults.FAULTS`, `LONG` and `FLEET`."""
+    """Play this seed with these faults, one or two of `faults.FAULTS`, `LONG`, `FLEET` and `IMPATIENT`."""
     def adjust(plan: Plan) -> None:
         for name in names:
             if name in LONG:
                 plan.duration, plan.rate = 120.0, 5.0
-            if name in FLEET:
+            if name in FLEET or name in IMPATIENT:
                 plan.processes, plan.rate = FLEET_PROCESSES, 0.5
+            if name in IMPATIENT:
+                plan.pushed, plan.instances, plan.duration = False, FLEET_PROCESSES, 24.0
 
-    known = FAULTS | LONG | FLEET
+    known = FAULTS | LONG | FLEET | IMPATIENT
     faults = []
     for name in names:
         left = [LEAVES.get(other, MOST_DELAY) for other in names if other != name]
--- a/tests/simulation/__main__.py
+++ b/tests/simulation/__main__.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 
 from simulation import play
-from simulation.faults import FAULTS, FLEET, LONG, pair
+from simulation.faults import FAULTS, FLEET, IMPATIENT, LONG, pair
 from simulation.run import Verdict
 
 SHOWN = 8  # failing seeds of a row
@@ -95,7 +95,7 @@
     parser.add_argument("--long", action="store_true", help="the long faults, and those of a fleet, too")
     parser.add_argument("--verbose", action="store_true", help="each break, too")
     given = parser.parse_args()
-    names = given.fault or [*FAULTS, *(LONG | FLEET if given.long else {})]
+    names = given.fault or [*FAULTS, *(LONG | FLEET | IMPATIENT if given.long else {})]
     rows = {name: Row(name) for name in names}
     if given.pairs:
         rows["pairs"] = Row("pairs")
--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -574,7 +574,58 @@
     run.at(run.plan.first_drain() + run.random.uniform(0.5, 2.0), again)
 
 
+# Seconds of work that one call of each process is for an impatient discovery. All can be told in time where
+# it is less than 6 s and the grace, and after a silence less the 2.4 s until that is certain.
+IMPATIENT_WAIT = (3.5, 5.0)
+IMPATIENT_WAIT_AFTER_SILENCE = (3.0, 3.8)
+PATIENCE = 2.0  # seconds after which it turns a call away, whose work is done all the same
+
+
+def _impatient_fleet(run: Run, wait: tuple[float, float] = IMPATIENT_WAIT) -> None:
+    """Discovery that is asked: it fails what has waited too long, and serves it in its turn all the same."""
+    for station in run.stations.values():
+        station.service = run.random.uniform(*wait) / FLEET_PROCESSES
+        station.patience, station.queue_most, station.holds_calls = PATIENCE, float(FLEET_PROCESSES), True
+
+
+def impatient_ends(run: Run) -> None:
+    """All watches of a fleet end at once, just before a drain, at an impatient discovery."""
+    run.at(3.0, lambda: _impatient_fleet(run))
+    _break_watches(run, run.plan.first_drain() - run.random.uniform(0.0, 0.2))
+
+
+def impatient_return(run: Run) -> None:
+    """An impatient discovery holds all calls for seconds, and is back just before a drain."""
+    run.at(3.0, lambda: _impatient_fleet(run))
+    back_at = run.plan.first_drain() - run.random.uniform(0.0, 0.5)
+    down_at = max(3.1, back_at - run.random.uniform(2.0, 8.0))
+    run.at(down_at, lambda: run.take_down(run.station, False))
+    run.at(back_at, lambda: run.bring_back(run.station))
+
+
+def impatient_silence(run: Run) -> None:
+    """All watches of a fleet fall silent at once, just before a drain, at an impatient discovery."""
+    run.at(3.0, lambda: _impatient_fleet(run, IMPATIENT_WAIT_AFTER_SILENCE))
+
+    def fall_silent() -> None:
+        for process in run.living():
+            run.station.silence(process.name)
+
+    run.at(run.plan.first_drain() - run.random.uniform(0.0, 0.2), fall_silent)
+
+
+def impatient_move(run: Run) -> None:
+    """A new configuration moves a fleet to an impatient discovery, just before a drain."""
+    run.at(3.0, lambda: _impatient_fleet(run))
+    run.at(run.plan.first_drain() - run.random.uniform(0.0, 0.2), lambda: run.move(SECOND))
+
+
 FLEET: dict[str, Fault] = {fault.__name__: fault for fault in (storm, storm_return, storm_restart)}
+#: Where the list is asked for: "one service of fixed capacity", at which calls "fail when they have waited
+#: too long" (the simulator's page).
+IMPATIENT: dict[str, Fault] = {fault.__name__: fault for fault in (
+    impatient_ends, impatient_return, impatient_silence, impatient_move,
+)}
 
 #: Seconds that a call may still take beside this fault, where that leaves too little for the longest one.
 LEAVES: dict[str, float] = {
--- a/tests/simulation/registry.py
+++ b/tests/simulation/registry.py
@@ -24,7 +24,6 @@
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 END = b"0\r\n\r\n"
 FIRST_INDEX = 7  # of the list that all processes know at their start
-REFUSAL_PART = 0.2  # of a call's work, for one that is turned away
 
 Entry = dict[str, Any]
 
@@ -131,7 +130,9 @@
         self.up = True
         self.refuses_dials = False  # while it is down: else it answers 503
         self.service = 0.001  # seconds of work for a call
-        self.patience = math.inf  # seconds in the queue after which a call is turned away
+        self.patience = math.inf  # seconds in the queue after which a call is turned away; its work stays
+        self.queue_most = math.inf  # calls that wait, beyond which one is turned away at once
+        self.holds_calls = False  # while it is down: calls are accepted, and turned away after `patience`
         self.reboots = 0  # each loses its state: the indexes begin anew
         self.style: Callable[[str], Style] = lambda process: Style()
         self.dial: Callable[[str], Dial] = lambda process: Dial()
@@ -226,14 +227,27 @@
         since = int(target.partition("since=")[2] or 0)
         self._open_calls[link] = call = Call(self._world.now)
         self._facts[link.process].calls.append(call)
+        if (not self.up and not self.holds_calls) or len(self._queue) >= self.queue_most:
+            self._turn_away(link)
+            return
+        if self.patience < math.inf:
+            self._world.after(self.patience, lambda: self._lose_patience(link))
         if not self.up:
-            link.send(BUSY)
-            self._note_failed(link)
             return
         self._queue.append(_Queued(link, since, self._world.now))
         self.longest_queue = max(self.longest_queue, len(self._queue))
         self._serve()
 
+    def _turn_away(self, link: Link) -> None:
+        if not link.ended:
+            link.send(BUSY)
+        self._note_failed(link)
+
+    def _lose_patience(self, link: Link) -> None:
+        """A call that has waited for too long fails; it is not taken out of the queue."""
+        if link in self._open_calls:
+            self._turn_away(link)
+
     def closed(self, link: Link) -> None:
         """The process has let go of a connection; a call that is queued keeps its turn."""
         self._heads.pop(link, None)
@@ -266,29 +280,27 @@
             return
         self._busy = True
         call = self._queue.popleft()
-        late = self._world.now - call.came > self.patience
-        work = self.service * (REFUSAL_PART if late else 1.0)
 
         def done() -> None:
             self._busy = False
             if self.up:
-                self._answer(call, late)
+                self._answer(call)
             self._serve()
 
-        self._world.after(work, done)
+        self._world.after(self.service, done)
 
-    def _answer(self, call: _Queued, late: bool) -> None:
+    def _answer(self, call: _Queued) -> None:
         link, style = call.link, self.style(call.link.process)
         self.served += 1
-        if link.ended or link.process in self.gone_for:
+        if link.ended or link.process in self.gone_for or link not in self._open_calls:
             return
         if style.silent:
             return
-        if late or style.unavailable or style.reset or style.no_news:
+        if style.unavailable or style.reset or style.no_news:
             self._note_failed(link)
         if style.reset:
             link.reset()
-        elif late or style.unavailable:
+        elif style.unavailable:
             link.send(BUSY)
         elif style.no_news:
             link.send(HEAD + END)
--- a/tests/simulation/run.py
+++ b/tests/simulation/run.py
@@ -55,6 +55,7 @@
 
     duration: float = 16.0
     processes: int = 2
+    instances: int = 1  # that the settings tell of
     servers: int = 4
     rate: float = 14.0  # requests a second at each process
     grace: float = 0.5
@@ -165,7 +166,7 @@
         self.network.listeners.update(self.stations)
         self.network.before_dial = self._before_dial
         self.wire: dict[str, Any] = {
-            **WIRE, "RegistryMode": "pushed" if plan.pushed else "on_request",
+            **WIRE, "Instances": plan.instances, "RegistryMode": "pushed" if plan.pushed else "on_request",
             "Rules": {**WIRE["Rules"], "DrainGrace": plan.grace, "AskEvery": plan.ask_every,
                       "Cold": plan.cold},
             "Services": [{**row, "Aim": plan.timeout, "HardLimit": 2.0} for row in WIRE["Services"]],
@@ -200,7 +201,8 @@
             name, self.world.now, replaces=replaces, turned_away=self.turned_away
         )
         made = dataclasses.replace(
-            config(self.known["endpoints"]), name=name, settings=read_settings(self.wire),
+            config(self.known["endpoints"]), name=name,
+            settings=read_settings({**self.wire, "Ordinal": (number - 1) % self.plan.instances}),
             seed=self.seed * 1000 + number, discovery=self.address, known=self.known,
             listen_fd=READY_FD if replaces else None, conn_idle=15.0, dial_timeout=self.plan.dial_timeout,
         )
--- a/tests/test_drain_simulation.py
+++ b/tests/test_drain_simulation.py
@@ -10,12 +10,13 @@
 
 import pytest
 import simulation
-from simulation.faults import FAULTS, FLEET, pair
+from simulation.faults import FAULTS, FLEET, IMPATIENT, pair
 from simulation.run import Verdict
 
 SEEDS = range(6)  # of each fault
 PAIRS = range(1000, 1060)
 FLEET_SEEDS = range(1)
+IMPATIENT_SEEDS = range(2)
 
 
 def complaint(verdict: Verdict) -> str:
@@ -51,6 +52,11 @@
     assert_sound([simulation.play(seed, [name]) for seed in FLEET_SEEDS])
 
 
+@pytest.mark.parametrize("name", IMPATIENT)
+def test_no_attempt_is_late_in_a_fleet_whose_calls_fail_in_the_queue(name: str) -> None:
+    assert_sound([simulation.play(seed, [name]) for seed in IMPATIENT_SEEDS])
+
+
 @pytest.mark.parametrize(("names", "seed"), [
     ("no_room", 29), ("clock_step", 7), ("clock_step", 32), ("half_file", 45), ("slow+restart", 1),
     ("slow+restart", 28), ("long_list+restart", 1), ("restart+cut", 30), ("restart+no_news", 13),
