Calls to discovery are spread over the time the rule leaves, by the fleet's size: no retry storm

Cause: each process called again 0.35 to 0.7 s after a failed call, whatever the fleet. With 200 that is more than discovery serves; its queue stays longer than calls may wait, so each call is served dead and brings the next: a metastable failure. Change: jaspershelf/reconnect.py decides each wait (end, silence, another address, failed, unanswered): spread from the first call on over what the rule on drains leaves, kept to one call in that time, growing where even that fails; as before in a small fleet.

--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -4,13 +4,20 @@
 
 import asyncio
 import itertools
-import random
 import time
 from collections.abc import Callable, Iterable
 
 import httptools
 
-from jaspershelf.model import ListKind
+from jaspershelf.model import ListKind, Settings
+from jaspershelf.reconnect import (
+    BACKOFF_FIRST,
+    BACKOFF_MOST,
+    SILENCE_SEEN_AFTER,
+    UNANSWERED_AFTER,
+    Loss,
+    ReconnectBackoff,
+)
 from lugspur.config import Address
 from lugspur.endpoint_table import EndpointTable
 from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
@@ -19,17 +26,20 @@
 from lugspur.trace import trace
 from lugspur.unread import READS_MOST, Inbox
 
-__all__ = ["Discovery", "Endpoint", "Reader", "server_id", "server_name", "worst_waits"]
+__all__ = [
+    "BACKOFF_FIRST", "BACKOFF_MOST", "Discovery", "Endpoint", "Reader", "server_id", "server_name",
+    "worst_waits",
+]
 
 # What discovery has to tell counts as told 6 s after it could be reached, 4 s after SIGHUP, whatever failed
 # on the way. Seconds, jitter included; `worst_waits` adds them up.
-SILENT = 2.4  # without a whole message, after which a watch is dead: an empty one comes every 2 s
+SILENT = SILENCE_SEEN_AFTER  # without a whole message: an empty one comes every 2 s
 DIAL_MOST = 0.6  # that the connection may take...
-CALL_MOST = 2.6  # ...and all until the first whole message, after which another call is made beside this one
-BACKOFF_FIRST, BACKOFF_MOST = 0.15, 0.7  # before the next call, doubling; at least half of it is waited
-DOUBLINGS_MOST = 10  # of the back-off: far beyond its most, and far below what a float holds
+CALL_MOST = UNANSWERED_AFTER  # ...and all until the first whole message: then another call is made beside it
 WAITING_MOST = 2  # unanswered calls that are kept beside the newest one...
 WAITING_SPAN = 30.0  # ...each for so many seconds: by then a queue would have moved
+SILENCE = "silent"  # why a watch is given up that says nothing more
+SERVICE_UNAVAILABLE = 503  # the status of a call that discovery turns away
 QUEUED_LEAST = 0.3  # seconds from connecting to a refusal that tell of a queue, not of a service that is down
 
 
@@ -39,7 +49,8 @@
 def worst_waits() -> dict[str, float]:
     """The longest waits in seconds, by what went on when discovery had the news and could be reached.
 
-    In each the call that brings it takes as long as one may.
+    In each the call that brings it takes as long as one may. They are those of a fleet that is too small to
+    crowd discovery; a larger one spreads its calls (`jaspershelf.reconnect`).
     """
     return {
         "a watch falls silent": SILENT + BACKOFF_FIRST + CALL_MOST,
@@ -67,9 +78,13 @@
     def __init__(
         self, address: Address, reader: Reader, index: int, told: Callable[[ListKind, list[Endpoint]], None],
         *, known: Iterable[Endpoint] = (), clock: Callable[[], float] = time.monotonic,
-        failed: Callable[[], None] = lambda: None,
+        failed: Callable[[], None] = lambda: None, backoff: ReconnectBackoff | None = None,
     ) -> None:
-        """`known` is the list that `index` belongs to; `failed` is told of each call that brought nothing."""
+        """`known` is the list that `index` belongs to; `failed` is told of each call that brought nothing.
+
+        Without a `backoff` it is that of a process alone.
+        """
+        self._backoff = backoff or ReconnectBackoff(Settings())
         self._address = address
         self._reader = reader
         self.index = index  # of the list as it is told
@@ -105,7 +120,11 @@
             self._follow(followed)
         else:
             self._drop("another address", but=followed)
-            self._call()
+            wait = self._backoff.after_loss(Loss.MOVED, self.failures)
+            if wait > 0.0:
+                self._wait(wait, self._call)
+            else:
+                self._call()
 
     def close(self) -> None:
         """End the watch: idle again, until `open`."""
@@ -215,7 +234,7 @@
             watch.note("unanswered", accepted=watch.accepted)
             self._watch = None
             self._waiting.append(watch)
-            self._back_off()
+            self._back_off(self._backoff.after_no_answer(self.failures))
 
     def _message(self, watch: _Watch, text: bytes) -> None:
         """A whole message of a watch, which is followed from now on."""
@@ -233,7 +252,8 @@
             self._waiting.remove(watch)
             self._watch = watch
         self._up_last = False
-        self._wait(SILENT, self._over, watch, "silent")
+        self._backoff.answered()
+        self._wait(SILENT, self._over, watch, SILENCE)
 
     def _start_over(self) -> None:
         """Discovery has lost its state: ask for all that it has now, and believe that."""
@@ -249,18 +269,23 @@
             return
         watch.note("over", reason=reason, accepted=watch.accepted, followed=watch.following)
         queued = self._age(watch) >= QUEUED_LEAST
+        refused = watch.status == SERVICE_UNAVAILABLE and not queued
         self._up_last = watch.unanswered() and (queued or watch.accepted)
         if watch is not self._watch:
             self._let_go(watch, reason)
             return
         self._watch = None
         watch.close()
-        self._back_off()
+        if watch.following:
+            loss = Loss.SILENT if reason == SILENCE else Loss.ENDED
+            wait = self._backoff.after_loss(loss, self.failures)
+        else:
+            wait = self._backoff.after_failure(self._clock() - watch.dialled_at, refused, self.failures)
+        self._back_off(wait)
 
-    def _back_off(self) -> None:
-        most = min(BACKOFF_MOST, BACKOFF_FIRST * 2.0 ** min(self.failures, DOUBLINGS_MOST))
+    def _back_off(self, wait: float) -> None:
+        """Call again after this wait."""
         self.failures += 1
-        wait = most * (0.5 + 0.5 * random.random())
         trace.record("discovery.back_off", seconds=round(wait, 3), failures=self.failures)
         self._wait(wait, self._call)
         self._failed()
@@ -286,7 +311,9 @@
     def __init__(self, discovery: Discovery, address: Address, since: int) -> None:
         self.address = address
         self.number = next(_NUMBERS)
+        self.dialled_at = discovery._clock()
         self.connected_at: float | None = None  # by the discovery's clock
+        self.status: int | None = None  # of discovery's answer
         self.accepted = False  # discovery has begun to answer
         self.following = False  # it has told a message
         self._discovery = discovery
@@ -357,10 +384,11 @@
     # ---- the parser's calls ------------------------------------------------------------------
 
     def on_headers_complete(self) -> None:
-        if self._parser.get_status_code() == 200:
+        self.status = self._parser.get_status_code()
+        if self.status == 200:
             self.accepted = True
         else:
-            self._discovery._over(self, f"status {self._parser.get_status_code()}")
+            self._discovery._over(self, f"status {self.status}")
 
     def on_body(self, body: bytes) -> None:
         for text in self._framer.feed(body):
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -24,6 +24,7 @@
     Subscribe,
     Timer,
 )
+from jaspershelf.reconnect import ReconnectBackoff
 from lugspur import discovery
 from lugspur.admin import Admin, Route
 from lugspur.backend_list import BackendList
@@ -110,7 +111,7 @@
         known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
-            failed=self._call_has_failed,
+            failed=self._call_has_failed, backoff=ReconnectBackoff(config.settings),
         )
         self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
