The lab's fleet keeps events and the trace apart

Cause: its reader took each JSON line for an event; records of the trace have none (KeyError in five tests of tests/cluster).

--- a/lugspur/lab/fleet.py
+++ b/lugspur/lab/fleet.py
@@ -84,9 +84,10 @@
         return self.process is not None and self.process.returncode is None
 
     def events(self) -> list[dict[str, Any]]:
-        """What it has logged as JSON so far, over all its starts."""
+        """What it has logged as JSON so far, over all its starts; its trace aside."""
         lines = self.log.read_bytes().splitlines() if self.log.exists() else []
-        return [orjson.loads(line) for line in lines if line.startswith(b"{")]
+        rows = [orjson.loads(line) for line in lines if line.startswith(b"{")]
+        return [row for row in rows if "event" in row]
 
 
 class Fleet:
