An answer of discovery that was cut short is asked for again at once, not in its turn

Change: the short back-off after a cut answer or message; the interval between calls is at most what the rule leaves, its jitter only shorter. Fleet fault impatient_cut, where a cut answer counts as written.

--- a/jaspershelf/reconnect.py
+++ b/jaspershelf/reconnect.py
@@ -21,7 +21,7 @@
 TOLD_AFTER = 6.0  # a change counts as told so long after discovery had it, or after a watch fell silent...
 TOLD_AFTER_MOVE = 4.0  # ...and so long after a new address was configured
 SILENCE_SEEN_AFTER = 2.4  # without a message, after which a watch is dead
-QUEUED_MOST = 2.0  # that an answer may wait in discovery's queue, and still come in time
+QUEUED_MOST = 1.8  # that an answer may wait in discovery's queue, and still come in time
 ANSWER_MOST = 0.6  # the same where little time is left: after a silence
 UNANSWERED_AFTER = 2.6  # after which a call that got no answer is backed by another
 MARGIN = 0.2  # for dials, late timers and the loop
@@ -29,7 +29,8 @@
 BACKOFF_FIRST, BACKOFF_MOST = 0.15, 0.7  # the short back-off, doubling; at least half of it is waited
 DOUBLINGS_MOST = 10  # of it: far beyond its most, and far below what a float holds
 CALL_WORK = 0.025  # of discovery for one call, assumed: it serves 40 a second
-JITTER = 0.1  # of the interval between calls: a process keeps about the place that it drew
+JITTER = 0.1  # of the interval, by which it may be shorter: a process keeps about the place that it drew
+CUTS_QUICK = 8  # calls in a row that fail before an answer that was cut short is no longer asked for at once
 PUSHED_QUICK = 3  # failed calls in a row before the long interval, where lists are pushed
 PATIENT_FAILURES = 6  # in a row, after which the interval grows...
 REFUSED_FAILURES = 3  # ...or so many, where calls were refused at once: the queue is full
@@ -85,8 +86,16 @@
         growth = self._growth(failures)
         if growth > 1.0:
             return max(BACKOFF_FIRST, growth * self._interval * (0.5 + 0.5 * self._draw()) - age)
-        jitter = 1.0 - JITTER + 2.0 * JITTER * self._draw()
-        return max(BACKOFF_FIRST, self._interval * jitter - age)
+        return max(BACKOFF_FIRST, self._interval * (1.0 - JITTER * self._draw()) - age)
+
+    def after_cut(self, age: float, failures: int) -> float:
+        """The wait after an answer, or a message, that was cut short: written, it counts as told.
+
+        Discovery had the time to write it, so it is not crowded; but if that goes on, it is left its time.
+        """
+        if failures < CUTS_QUICK:
+            return self._short(failures)
+        return self.after_failure(age, False, failures)
 
     def after_no_answer(self, failures: int) -> float:
         """The wait before another call is made beside one that has got no answer."""
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -276,11 +276,14 @@
             return
         self._watch = None
         watch.close()
-        if watch.following:
+        age = self._clock() - watch.dialled_at
+        if watch.is_cut():
+            wait = self._backoff.after_cut(age, self.failures)
+        elif watch.following:
             loss = Loss.SILENT if reason == SILENCE else Loss.ENDED
             wait = self._backoff.after_loss(loss, self.failures)
         else:
-            wait = self._backoff.after_failure(self._clock() - watch.dialled_at, refused, self.failures)
+            wait = self._backoff.after_failure(age, refused, self.failures)
         self._back_off(wait)
 
     def _back_off(self, wait: float) -> None:
@@ -335,6 +338,10 @@
         """Whether discovery has accepted it and told nothing yet."""
         return self.connected_at is not None and not self.following
 
+    def is_cut(self) -> bool:
+        """Whether a message has begun that was not read to its end, or an answer that has none yet."""
+        return self.accepted and (not self.following or self._framer.begun())
+
     def dial(self, address: Address) -> None:
         """Connect, and ask."""
         loop = asyncio.get_running_loop()
--- a/lugspur/message_framing.py
+++ b/lugspur/message_framing.py
@@ -21,6 +21,10 @@
         """The line that has begun and not ended."""
         return bytes(self._line)
 
+    def begun(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return bool(self._line.strip() or self._lines)
+
     def feed(self, data: bytes) -> list[bytes]:
         """The messages that these bytes complete; ValueError where one is too long."""
         if b"\n" not in data:  # Guards the time that a long line takes which comes in small pieces.
--- a/tests/simulation/__init__.py
+++ b/tests/simulation/__init__.py
@@ -24,6 +24,8 @@
                 plan.processes, plan.rate = FLEET_PROCESSES, 0.5
             if name in IMPATIENT:
                 plan.pushed, plan.instances, plan.duration = False, FLEET_PROCESSES, 24.0
+            if name == "impatient_cut":
+                plan.grace = 1.5
 
     known = FAULTS | LONG | FLEET | IMPATIENT
     faults = []
