make soak: real processes whose clients go on until SIGKILL, judged by what clients and servers saw

Need: the end of a process under clients that use each open connection until a SIGKILL that comes as early as the platform allows (the longest deadline, 3 s at most, and 0.7 s).

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,12 @@
 simulation:
 	PYTHONPATH=tests $(PYTHON) -m simulation --seeds $(SEEDS) --pairs $(PAIRS) --long --workers 2
 
+# Real processes, their clients going on until SIGKILL: some 7 s a seed, three at a time. CI has a few of them
+# (tests/test_soak.py). Again: make soak SEEDS=17
+.PHONY: soak
+soak:
+	PYTHONPATH=tests:. $(PYTHON) -m soak --seeds $(SEEDS)
+
 # Faults of system calls, each at each place, then pairs from seeds: some ten minutes on four processors. CI has a
 # bounded part of it (tests/test_faults_drain.py). Again: make faults FAULTS='--only "a name that was printed"'.
 FAULTS ?= --seeds 200
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,62 @@
+"""A short soak of real processes, and that it can fail: `make soak` plays more seeds."""
+
+from __future__ import annotations
+
+import pytest
+from soak.judge import LATE_MOST, Observed, Sent, breaks
+from soak.play import Plan, play
+
+SEEDS = range(100, 108)  # two of them crowded: some 50 s in all
+
+#: Mistakes put into the program, each with what it does at its end.
+#: "the listener is left at once": clients that stay send up to SIGKILL, and nobody closes their connections.
+MISTAKES = {
+    "answers come after their time": "import lugspur.proxy; lugspur.proxy.ANSWER_EARLY = -3.0",
+    "connections are aborted, not shut down":
+        "from lugspur.server import Caller, Front; "
+        "Front.close = lambda self: [caller.abort() for caller in tuple(self.callers)]",
+    "the listener is left at once, and callers stay": "m.let_go = lambda front: m.asyncio.sleep(9.0)",
+}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_request_is_lost_over_the_end_of_a_process(seed: int) -> None:
+    result = play(seed)
+    assert result.broken == [] and result.requests > 20
+
+
+def all_hang_at_the_end(plan: Plan) -> None:
+    plan.deadline, plan.clients, plan.sockets, plan.think, plan.hangs_at_end = 2.0, 12, 1024, 0.02, 0.8
+    plan.before, plan.after = [], []
+
+
+@pytest.mark.parametrize("mistake", MISTAKES)
+def test_a_mistake_at_the_end_is_caught(mistake: str) -> None:
+    program = ("-c", f"import sys, lugspur.__main__ as m; {MISTAKES[mistake]}; sys.exit(m.main())")
+    assert play(0, all_hang_at_the_end, program).broken
+
+
+TERM, KILL = 10.0, 12.7
+
+
+@pytest.mark.parametrize(("sent", "runs", "lost"), [
+    (Sent("r", False, 9.0, 1.0, answered=9.5), {}, False),
+    (Sent("r", False, 9.0, 1.0, answered=10.0 + LATE_MOST), {}, False),
+    (Sent("r", False, 9.0, 1.0, answered=10.1 + LATE_MOST), {}, True),
+    (Sent("r", False, 9.0, 1.0), {"r": [True]}, True),
+    (Sent("r", False, 10.6, 3.0), {"r": [True]}, False),  # SIGKILL may find it
+    (Sent("r", False, 10.8, 3.0), {}, True),
+    (Sent("r", False, 10.2, 1.0, cut_at=10.3), {}, False),  # it crossed the close, and was not read
+    (Sent("r", False, 10.2, 1.0, cut_at=10.3), {"r": [True]}, True),
+    (Sent("r", False, 10.2, 1.0, cut_at=10.3, began=True), {}, True),
+    (Sent("r", False, 10.6, 3.0, cut_at=12.8), {"r": [True]}, False),
+    (Sent("r", True, 9.0, 1.0, answered=9.5), {"r": [True, True]}, True),
+    (Sent("r", True, 9.0, 1.0, answered=9.5), {"r": [False, True]}, False),
+    (Sent("r", False, 9.0, 1.0, answered=9.5), {"r": [True, True]}, False),
+])
+def test_what_is_lost(sent: Sent, runs: dict[str, list[bool]], lost: bool) -> None:
+    assert bool(breaks(Observed(TERM, KILL, [sent], runs))) == lost
+
+
+def test_a_process_that_ends_with_a_fault_is_a_break() -> None:
+    assert breaks(Observed(TERM, KILL, exit_status=1)) and not breaks(Observed(TERM, KILL, exit_status=0))
