--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -105,6 +105,8 @@
         await keeper.close()
     trace.record("process.ended")
     trace.flush()
+    # Guards the exit status: the loop takes its handlers away as it closes, and a further signal would kill.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGINT, signal.SIGHUP})
 
 
 async def first_of(*events: Coroutine[Any, Any, Any]) -> None:
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -256,3 +256,31 @@
         assert front._letting_go is not None and front._letting_go.cancelled() and not front.closing
 
     asyncio.run(play())
+
+
+SIGNALS_AFTER_THE_LOOP = """
+import os, signal, sys
+import lugspur.__main__ as program
+run = program.run
+def run_and_signal(main):
+    run(main)
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        os.kill(os.getpid(), number)
+program.run = run_and_signal
+sys.exit(program.main())
+"""
+
+
+def test_signals_after_the_loop_has_closed_do_not_kill_a_process_that_ends(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with watches() as registry:
+            port = free_port()
+            env = environment(tmp_path / "c.json", f"{HOST}:{port}", f"{HOST}:{registry.port}", [])
+            proxy = await asyncio.create_subprocess_exec(
+                sys.executable, "-c", SIGNALS_AFTER_THE_LOOP, cwd=ROOT, env=env
+            )
+            await answers(port, 503)
+            proxy.send_signal(signal.SIGTERM)
+            assert await soon(proxy.wait()) == 0
+
+    asyncio.run(play())
