--- a/jaspershelf/reconnect.py
+++ b/jaspershelf/reconnect.py
@@ -34,7 +34,7 @@
 # Spreads of the next calls of a process that has no list yet: what it missed counts as told long since, and
 # it is not ready before. After that many calls discovery is too crowded to be hurried.
 START_SPREADS = (1.0, 2.0)
-PUSHED_QUICK = 3  # failed calls in a row before the long interval, where lists are pushed
+PUSHED_QUICK = 3  # refused calls in a row before the long interval, where lists are pushed
 PATIENT_FAILURES = 6  # in a row, after which the interval grows...
 REFUSED_FAILURES = 3  # ...or so many, where calls were refused at once: the queue is full
 GROWTH, GROWTH_MOST = 1.5, 4.0  # of the interval, a call and in all
@@ -68,16 +68,19 @@
         self._listed = False  # this process has had a list
         self._spread = False  # this process has drawn its place among the others since the last answer
         self._refused = False  # a call was refused at once since the last answer
+        self._queued = False  # a call was turned away after it had waited, since the last answer
 
     def answered(self) -> None:
         """A call was answered with a list."""
         self._listed = True
-        self._spread = self._refused = False
+        self._spread = self._refused = self._queued = False
 
     def after_loss(self, loss: Loss, failures: int) -> float:
         """The wait before the first call once the watch is lost, or another address is to be called."""
-        if not self._crowds(failures):
+        if not self.is_large_fleet():
             return 0.0 if loss is Loss.MOVED else self._short(failures)
+        if self._pushed and loss is Loss.ENDED:  # what discovery has counts as told at once
+            return min(self._interval, max(BACKOFF_FIRST, self._grace - ANSWER_MOST)) * self._draw()
         left = {
             Loss.ENDED: self._interval,
             Loss.SILENT: TOLD_AFTER + self._grace - SILENCE_SEEN_AFTER - ANSWER_MOST,
@@ -85,9 +88,15 @@
         }[loss]
         return self._place(left)
 
-    def after_failure(self, age: float, refused: bool, failures: int) -> float:
-        """The wait after a call that failed `age` after it was begun; `refused`: at once, by discovery."""
+    def after_failure(
+        self, age: float, failures: int, *, refused: bool = False, queued: bool = False
+    ) -> float:
+        """The wait after a call that failed `age` after it was begun.
+
+        `refused`: discovery turned it away at once; `queued`: after it had waited.
+        """
         self._refused |= refused
+        self._queued |= queued
         if not self._crowds(failures):
             return self._short(failures)
         if not self._listed and failures < len(START_SPREADS):
@@ -106,7 +115,7 @@
         """
         if failures < CUTS_QUICK:
             return self._short(failures)
-        return self.after_failure(age, False, failures)
+        return self.after_failure(age, failures)
 
     def after_no_answer(self, failures: int) -> float:
         """The wait before another call is made beside one that has got no answer."""
@@ -123,11 +132,12 @@
     def _crowds(self, failures: int) -> bool:
         """Whether to spare discovery.
 
-        Where lists are pushed a change counts as told at once: there the first calls are quick all the same.
+        Where lists are pushed a change counts as told at once: there calls are quick until one has waited in
+        a queue, or several were refused.
         """
         if not self.is_large_fleet():
             return False
-        return not self._pushed or failures >= PUSHED_QUICK
+        return not self._pushed or self._queued or (self._refused and failures >= PUSHED_QUICK)
 
     def _place(self, left: float) -> float:
         """Draw a place within the time that is left for it."""
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -277,8 +277,8 @@
             return
         watch.note("over", reason=reason, accepted=watch.accepted, followed=watch.following)
         queued = self._age(watch) >= QUEUED_LEAST
-        refused = watch.status == SERVICE_UNAVAILABLE and not queued
-        turned_away = watch.status == SERVICE_UNAVAILABLE and (queued or self._backoff.is_large_fleet())
+        unavailable = watch.status == SERVICE_UNAVAILABLE
+        turned_away = unavailable and self._backoff.is_large_fleet()
         self._up_last = watch.unanswered() and (queued or watch.accepted or turned_away)
         if watch is not self._watch:
             self._let_go(watch, reason)
@@ -292,7 +292,9 @@
             loss = Loss.SILENT if reason == SILENCE else Loss.ENDED
             wait = self._backoff.after_loss(loss, self.failures)
         else:
-            wait = self._backoff.after_failure(age, refused, self.failures)
+            wait = self._backoff.after_failure(
+                age, self.failures, refused=unavailable and not queued, queued=unavailable and queued
+            )
         self._back_off(wait)
 
     def _back_off(self, wait: float) -> None:
--- a/lugspur/lab/crowded.py
+++ b/lugspur/lab/crowded.py
@@ -81,6 +81,7 @@
 
     def __init__(self, seed: int) -> None:
         self.service_time = QUICK
+        self.keeps_overdue = False
         self._random = Random(seed)
         self._queue: asyncio.Queue[tuple[float, asyncio.Future[None]]] = asyncio.Queue()
         self._free_at = 0.0
@@ -103,11 +104,11 @@
         await turn
 
     async def serve(self) -> None:
-        """Serve for ever. A call that ended here before its turn, as one that is overdue, takes no time."""
+        """Serve for ever. A call that is overdue before its turn takes no time, unless `keeps_overdue`."""
         while True:
             came, turn = await self._queue.get()
             await self._free.wait()
-            if turn.cancelled():
+            if turn.cancelled() and not self.keeps_overdue:
                 continue
             # A clock of its own: the stand-in's loop may be late, which does not make the service slower.
             self._free_at = max(came, self._free_at) + self._random.uniform(*self.service_time)
--- a/tests/drain_fleet.py
+++ b/tests/drain_fleet.py
@@ -57,8 +57,11 @@
     """One play from the start to the end of all its processes."""
     chosen = PLAYS[play]
     async with asyncio.timeout(RUN_MOST), AsyncExitStack() as stack:
-        fleet = await stack.enter_async_context(Fleet(folder, processes, seed=seed, peers=False))
-        stage = Stage(fleet, seed)
+        mode = {"RegistryMode": "on_request"} if chosen.asked else {}
+        fleet = await stack.enter_async_context(
+            Fleet(folder, processes, seed=seed, peers=False, settings=mode)
+        )
+        stage = Stage(fleet, seed, pushed=not chosen.asked)
         stack.push_async_callback(stage.close)
         await stage.open(rate, LOAD_FIRST + chosen.seconds)
         stage.load.begin()
--- a/tests/drain_plays.py
+++ b/tests/drain_plays.py
@@ -21,6 +21,7 @@
     what: str
     seconds: float
     act: Action
+    asked: bool = False  # the list is asked for, else pushed
 
 
 async def ended(stage: Stage) -> None:
@@ -48,6 +49,13 @@
     await ended(stage)
 
 
+async def impatient(stage: Stage) -> None:
+    """As `ended`; calls that have waited for 2 s end in 503, and their work is done all the same."""
+    stage.discovery.wait_most = 2.0
+    stage.discovery.turns.keeps_overdue = True
+    await ended(stage)
+
+
 async def restarted(stage: Stage) -> None:
     await stage.drain(6)
     names = stage.draw(0.7)
@@ -228,6 +236,10 @@
     "ended_whole": Play("the same, whole lists that leave out what drains", 26.0, ended_whole),
     "silent": Play("watches fall silent, discovery crowded (5 s)", 26.0, silent),
     "limited": Play("watches end, crowded (5 s), 503 after 4 s in turn", 26.0, limited),
+    "impatient": Play(
+        "lists asked for: watches end, crowded (5 s), 503 after 2 s in turn, work kept", 26.0, impatient,
+        asked=True,
+    ),
     "restarted": Play("7 in 10 killed and restarted, crowded (6 s)", 38.0, restarted),
     "down": Play("discovery refuses for 8 s, crowded at its return (5 s)", 32.0, down),
     "unavailable": Play("discovery answers 503 for 8 s, crowded then (5 s)", 32.0, unavailable),
--- a/tests/drain_stage.py
+++ b/tests/drain_stage.py
@@ -48,8 +48,9 @@
 class Stage:
     """The processes, discovery and the load of one play, and what may be done to them."""
 
-    def __init__(self, fleet: Fleet, seed: int) -> None:
+    def __init__(self, fleet: Fleet, seed: int, pushed: bool = True) -> None:
         self.fleet = fleet
+        self.pushed = pushed
         self.names = list(fleet.nodes)
         self.random = Random(seed)
         hosts = {name: discovery_host(node) for name, node in fleet.nodes.items()}
@@ -232,7 +233,7 @@
             for row in record.written.get(life.name, []) if life.started <= row.at < life.ended
         ]
         return drain_rule.Process(
-            f"{life.name}#{number}", life.started, reachable=list(self._reachable(life.name)),
+            f"{life.name}#{number}", life.started, self.pushed, reachable=list(self._reachable(life.name)),
             messages=messages, silences=[
                 drain_rule.Silence(row.start, row.end) for row in record.silences.get(life.name, [])
                 if life.started <= row.start < life.ended
