The lab reads only whole lines of a log

Cause: the trace is written in pieces of 4 kB, so a log that is read meanwhile may end within a line; found by reading after test_recovery failed once beside busy processes.

--- a/lugspur/lab/fleet.py
+++ b/lugspur/lab/fleet.py
@@ -85,7 +85,8 @@
 
     def events(self) -> list[dict[str, Any]]:
         """What it has logged as JSON so far, over all its starts; its trace aside."""
-        lines = self.log.read_bytes().splitlines() if self.log.exists() else []
+        text = self.log.read_bytes() if self.log.exists() else b""
+        *lines, _ = text.split(b"\n")  # the last one may not be whole: a long write comes in pieces
         rows = [orjson.loads(line) for line in lines if line.startswith(b"{")]
         return [row for row in rows if "event" in row]
 
