--- a/lugspur/trace.py
+++ b/lugspur/trace.py
@@ -22,8 +22,8 @@
 FLUSH_EVERY = 0.25  # seconds between writes
 FLUSH_LATE = 5.0  # seconds after which one that was due is not waited for any longer
 BUFFERED_MOST = 500  # records that are kept between two writes
-RATE = 150.0  # records a second of one topic, in the long run...
-BURST = 600.0  # ...and at once
+RATE = 40.0  # records a second of one topic, in the long run...
+BURST = 200.0  # ...and at once
 NAMES_MOST = 20  # of servers, in one record
 
 
