--- a/lugspur/__main__.py
+++ b/lugspur/__main__.py
@@ -17,10 +17,10 @@
 from lugspur.discovery import Reader
 from lugspur.event_loop import run
 from lugspur.events import AtOnceHandler, log, write_at_once
+from lugspur.front import Front
 from lugspur.orders import OrderBook, path_for
 from lugspur.proxy import Proxy
 from lugspur.reload import Reloader
-from lugspur.server import Front
 from lugspur.trace import trace
 
 LISTEN_LEAST, LISTEN_MOST = 0.45, 0.6  # seconds after SIGTERM in which new connections are still taken...
--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -11,9 +11,10 @@
 import httptools
 
 from lugspur.accept import Acceptor
+from lugspur.caller import LINGER
 from lugspur.events import log
 from lugspur.listening import listening_socket
-from lugspur.server import LINGER, Rejected, path_of
+from lugspur.request import Rejected, path_of
 
 ADMIN_SOCKETS = 16  # callers at a time, of the spare descriptors: the next one takes the oldest one's place
 CALL_WITHIN = 2.0  # seconds for a whole call: silent callers stay for 4 if they may
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -8,8 +8,9 @@
 from typing import Protocol
 
 from jaspershelf.model import Outcome
+from lugspur.caller import Caller
 from lugspur.exchange import Exchange, Response
-from lugspur.server import Caller, Facts, Request
+from lugspur.request import Facts, Request
 
 
 class CallOwner(Protocol):
--- a/lugspur/server.py
+++ b/lugspur/caller.py
@@ -1,199 +1,33 @@
-"""The callers' side: HTTP/1.1 requests in, answers out, and `/healthz`."""
+"""A caller's connection: HTTP/1.1 requests in, answers out, and `/healthz`."""
 
 from __future__ import annotations
 
 import asyncio
-import math
-import re
 import socket
 import struct
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
 from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import httptools
 
-from jaspershelf.model import Repeat
-from lugspur.accept import Acceptor
 from lugspur.backend_connection import BLANKS, HOP_BY_HOP, READ_BUFFER
 from lugspur.body import BODY_MOST, HELD_MOST, Body
-from lugspur.config import Config
 from lugspur.exchange import STUCK, Exchange, Response
-from lugspur.listening import inherited_socket, listening_socket
-from lugspur.telemetry import Telemetry
+from lugspur.request import NAMED, Rejected, Request, classify, origin_form, path_of
 from lugspur.trace import trace
 
+if TYPE_CHECKING:
+    from lugspur.front import Front
+
 HEAD_MOST = 64 << 10  # bytes of a request's head
 TICK = 1.25  # seconds between looks at a request that is coming in
 HEAD_TICKS = 2  # looks after which a head has to be complete: it may take 2 s, and a bad peer 3
 PACE_LEAST = 16e3  # bytes a second of a body that is coming in: a quarter of what callers are said to send
 LINGER = 1.0  # seconds of a lingering close in which what still comes is read: a reset would eat the answer
-LINGERERS = 8  # of them beyond the limit on callers, of the spare descriptors; the next one ends the oldest
 AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that a caller may send behind a request that is being served...
 QUEUED_MOST = 32  # ...and whole requests
-BACKLOG = 1024  # connections that may wait to be accepted
-# Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
-# be left, nor a request of the last 2 s, and closing one early crosses more requests.
-IDLE_AFTER_DRAIN = 1.6
-TIME = re.compile(rb"\d{1,9}(\.\d+)?")
-METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
-NAMED = frozenset(
-    {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
-     b"idempotency-key"}
-)
-
-
-def origin_form(target: bytes) -> bytes:
-    """A target as servers take it: of an absolute one, what follows its authority."""
-    scheme, separator, rest = target.partition(b"://")
-    if not separator or not scheme.isalpha():
-        return target
-    start = next((at for at, byte in enumerate(rest) if byte in b"/?"), len(rest))
-    return rest[start:] if rest[start:].startswith(b"/") else b"/" + rest[start:]
-
-
-def path_of(target: bytes) -> bytes:
-    """A target's path, without its query."""
-    return origin_form(target).partition(b"?")[0]
-
-
-class Rejected(Exception):
-    """A request that is answered here: its status and one line of reason."""
-
-    def __init__(self, status: int, reason: str) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-
-
-@dataclass(slots=True)
-class Request:
-    """A request as it comes: its head, and its body as far as that is here."""
-
-    method: bytes
-    target: bytes
-    headers: dict[bytes, bytes]  # those that the proxy reads
-    lines: bytes  # the end-to-end headers, each with its line end, but for the time
-    body: Body
-    keep_alive: bool
-    knows_chunks: bool  # the caller's version of HTTP has them
-    arrived: float = math.inf  # the loop's time of its last byte
-    fault: Rejected | None = None
-
-
-@dataclass(slots=True)
-class Facts:
-    """What the decisions need of a request."""
-
-    kind: int
-    tenant: int
-    timeout: float
-    cost: float
-    retry: bool
-
-
-class Front:
-    """All connections of callers, within a limit on their number."""
-
-    def __init__(
-        self, config: Config, most: int, handle: Callable[[Request, Facts, Caller], None],
-        telemetry: Telemetry,
-    ) -> None:
-        self.config = config
-        self.telemetry = telemetry
-        self.handle = handle
-        self.most = most
-        self.loaded = asyncio.Event()  # the list is
-        self.serving = False  # the listener accepts, and is to go on
-        self.ending = False  # the process has been told to end
-        self.closing = False  # answers close their connection
-        self.drained = False  # operators have sent callers elsewhere, for a time
-        self.until = math.inf  # in the loop's time: all that is taken has to be answered by then
-        self._letting_go: asyncio.TimerHandle | None = None
-        self.callers: set[Caller] = set()
-        self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
-        self.lingering: dict[Caller, None] = {}  # those shut down for sending, the oldest first
-        self.last_accept = 0.0
-
-    def taking(self) -> bool:
-        """Whether this process takes callers and knows the list."""
-        return self.loaded.is_set() and self.serving
-
-    def healthy(self) -> bool:
-        """Whether requests should be sent here."""
-        return self.taking() and not self.drained
-
-    def crowded(self) -> bool:
-        """Whether more callers are here than may be, those on their way out aside."""
-        return len(self.callers) - len(self.lingering) > self.most
-
-    def evacuate(self) -> None:
-        """Let callers leave for as long as operators want it; the listener stays for those that still come.
-
-        Not a shutdown: nothing ends but connections, and `rejoin` takes all of it back.
-        """
-        if self.drained:
-            return
-        self.drained = self.closing = True
-        self._letting_go = asyncio.get_running_loop().call_later(IDLE_AFTER_DRAIN, self.close)
-
-    def rejoin(self) -> None:
-        """Back to work; a process that is told to end stays on its way out."""
-        if not self.drained:
-            return
-        self.drained = False
-        self.closing = self.ending
-        if self._letting_go is not None:
-            self._letting_go.cancel()
-
-    async def listen(self) -> socket.socket:
-        """Serve on the given address alone, by the platform's own socket where it holds one."""
-        given = self.config.listen_fd
-        sock = listening_socket(self.config.listen) if given is None else inherited_socket(given)
-        sock.listen(BACKLOG)
-        self._acceptor = Acceptor(sock, lambda: Caller(self))
-        self.serving = True
-        return sock
-
-    async def stop_listening(self, sock: socket.socket) -> None:
-        """Take what the accept queue holds, then close the listener: closing it resets what is queued."""
-        await self._acceptor.drain()
-
-    def leave_listener(self) -> None:
-        """Accept nothing more; the queue is the other process's, and only the own descriptor is closed."""
-        self._acceptor.close()
-
-    def close(self) -> None:
-        """From here on answers close their connection; those that wait for nothing are closed now."""
-        self.closing = True
-        for caller in tuple(self.waiting):
-            if not caller.begun:  # Guards requests on their way in: their answers close the connection.
-                caller.close("idle, and the process lets its callers go")
-
-    def classify(self, request: Request) -> Facts:
-        """Read what the decisions need; raises Rejected where it is malformed or unknown."""
-        get = request.headers.get
-        if not get(b"x-request-id"):
-            raise Rejected(400, "no request id")
-        name = get(b"x-priority-class", b"").decode("latin-1")
-        kind = self.config.classes.get(name)
-        if kind is None:
-            raise Rejected(400, "unknown class")
-        method, keyed = METHODS[self.config.settings.classes[kind].repeat]
-        if request.method != method or (keyed and not get(b"idempotency-key")):
-            raise Rejected(400, "the method does not fit the class")
-        tenant: int | None = 0
-        if self.config.tenants:
-            tenant = self.config.tenants.get(get(b"x-tenant-id", b"").decode("latin-1"))
-        if tenant is None:
-            raise Rejected(400, "unknown tenant")
-        timeout = get(b"x-timeout", b"")
-        if not TIME.fullmatch(timeout):
-            raise Rejected(400, "the time is malformed")
-        cost = get(b"x-cost", b"")
-        guess = float(cost) / 1e6 if TIME.fullmatch(cost) else 0.0
-        return Facts(kind, tenant, float(timeout), guess, get(b"x-retried") == b"1")
 
 
 class Caller(asyncio.BufferedProtocol):
@@ -233,15 +67,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        front = self._front
-        front.last_accept = self._loop.time()
-        front.callers.add(self)
-        if front.crowded() and front.waiting:
-            # Guards the limit on sockets: idle connections make room...
-            next(iter(front.waiting)).close("idle, and there are too many")
-        if len(front.callers) > front.most + LINGERERS and front.lingering:
-            next(iter(front.lingering)).abort("too many linger")  # ...at once where too many of them linger.
-        front.waiting[self] = None
+        self._front.admit(self)
         self._watch()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -541,7 +367,7 @@
             healthy = self._front.healthy()
             self.answer(200 if healthy else 503, b"", b"ok\n" if healthy else b"not ready\n")
         elif path == b"/api" or path.startswith(b"/api/"):  # a request without a key has no last part
-            facts = self._front.classify(request)
+            facts = classify(self._front.config, request)
             self._kind = facts.kind
             if request.body.whole:
                 self._count_taken()
--- /dev/null
+++ b/lugspur/front.py
@@ -0,0 +1,111 @@
+"""All connections of callers: taking them, health, and letting them go."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+from collections.abc import Callable
+
+from lugspur.accept import Acceptor
+from lugspur.caller import Caller
+from lugspur.config import Config
+from lugspur.listening import inherited_socket, listening_socket
+from lugspur.request import Facts, Request
+from lugspur.telemetry import Telemetry
+
+LINGERERS = 8  # of them beyond the limit on callers, of the spare descriptors; the next one ends the oldest
+BACKLOG = 1024  # connections that may wait to be accepted
+# Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
+# be left, nor a request of the last 2 s, and closing one early crosses more requests.
+IDLE_AFTER_DRAIN = 1.6
+
+
+class Front:
+    """All connections of callers, within a limit on their number."""
+
+    def __init__(
+        self, config: Config, most: int, handle: Callable[[Request, Facts, Caller], None],
+        telemetry: Telemetry,
+    ) -> None:
+        self.config = config
+        self.telemetry = telemetry
+        self.handle = handle
+        self.most = most
+        self.loaded = asyncio.Event()  # the list is
+        self.serving = False  # the listener accepts, and is to go on
+        self.ending = False  # the process has been told to end
+        self.closing = False  # answers close their connection
+        self.drained = False  # operators have sent callers elsewhere, for a time
+        self.until = math.inf  # in the loop's time: all that is taken has to be answered by then
+        self._letting_go: asyncio.TimerHandle | None = None
+        self.callers: set[Caller] = set()
+        self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
+        self.lingering: dict[Caller, None] = {}  # those shut down for sending, the oldest first
+        self.last_accept = 0.0
+
+    def taking(self) -> bool:
+        """Whether this process takes callers and knows the list."""
+        return self.loaded.is_set() and self.serving
+
+    def healthy(self) -> bool:
+        """Whether requests should be sent here."""
+        return self.taking() and not self.drained
+
+    def admit(self, caller: Caller) -> None:
+        """A new connection: where there are too many, an idle one makes room."""
+        self.last_accept = asyncio.get_running_loop().time()
+        self.callers.add(caller)
+        if self.crowded() and self.waiting:
+            # Guards the limit on sockets: idle connections make room...
+            next(iter(self.waiting)).close("idle, and there are too many")
+        if len(self.callers) > self.most + LINGERERS and self.lingering:
+            next(iter(self.lingering)).abort("too many linger")  # ...at once where too many of them linger.
+        self.waiting[caller] = None
+
+    def crowded(self) -> bool:
+        """Whether more callers are here than may be, those on their way out aside."""
+        return len(self.callers) - len(self.lingering) > self.most
+
+    def evacuate(self) -> None:
+        """Let callers leave for as long as operators want it; the listener stays for those that still come.
+
+        Not a shutdown: nothing ends but connections, and `rejoin` takes all of it back.
+        """
+        if self.drained:
+            return
+        self.drained = self.closing = True
+        self._letting_go = asyncio.get_running_loop().call_later(IDLE_AFTER_DRAIN, self.close)
+
+    def rejoin(self) -> None:
+        """Back to work; a process that is told to end stays on its way out."""
+        if not self.drained:
+            return
+        self.drained = False
+        self.closing = self.ending
+        if self._letting_go is not None:
+            self._letting_go.cancel()
+
+    async def listen(self) -> socket.socket:
+        """Serve on the given address alone, by the platform's own socket where it holds one."""
+        given = self.config.listen_fd
+        sock = listening_socket(self.config.listen) if given is None else inherited_socket(given)
+        sock.listen(BACKLOG)
+        self._acceptor = Acceptor(sock, lambda: Caller(self))
+        self.serving = True
+        return sock
+
+    async def stop_listening(self, sock: socket.socket) -> None:
+        """Take what the accept queue holds, then close the listener: closing it resets what is queued."""
+        await self._acceptor.drain()
+
+    def leave_listener(self) -> None:
+        """Accept nothing more; the queue is the other process's, and only the own descriptor is closed."""
+        self._acceptor.close()
+
+    def close(self) -> None:
+        """From here on answers close their connection; those that wait for nothing are closed now."""
+        self.closing = True
+        for caller in tuple(self.waiting):
+            if not caller.begun:  # Guards requests on their way in: their answers close the connection.
+                caller.close("idle, and the process lets its callers go")
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -29,13 +29,15 @@
 from lugspur.admin import Admin, Route
 from lugspur.backend_list import BackendList
 from lugspur.call import Call
+from lugspur.caller import Caller
 from lugspur.config import Address, Config
 from lugspur.events import log
 from lugspur.exchange import Exchange, Response
+from lugspur.front import Front
 from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.orders import OrderBook, Orders
+from lugspur.request import Facts, Rejected, Request
 from lugspur.serial_executor import SerialExecutor
-from lugspur.server import Caller, Facts, Front, Rejected, Request
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
 from lugspur.trace import trace
--- /dev/null
+++ b/lugspur/request.py
@@ -0,0 +1,92 @@
+"""A caller's request as it is read, and what the decisions need of it."""
+
+from __future__ import annotations
+
+import math
+import re
+from dataclasses import dataclass
+
+from jaspershelf.model import Repeat
+from lugspur.body import Body
+from lugspur.config import Config
+
+TIME = re.compile(rb"\d{1,9}(\.\d+)?")
+METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
+NAMED = frozenset(
+    {b"x-priority-class", b"x-tenant-id", b"x-timeout", b"x-request-id", b"x-retried", b"x-cost",
+     b"idempotency-key"}
+)
+
+
+def origin_form(target: bytes) -> bytes:
+    """A target as servers take it: of an absolute one, what follows its authority."""
+    scheme, separator, rest = target.partition(b"://")
+    if not separator or not scheme.isalpha():
+        return target
+    start = next((at for at, byte in enumerate(rest) if byte in b"/?"), len(rest))
+    return rest[start:] if rest[start:].startswith(b"/") else b"/" + rest[start:]
+
+
+def path_of(target: bytes) -> bytes:
+    """A target's path, without its query."""
+    return origin_form(target).partition(b"?")[0]
+
+
+class Rejected(Exception):
+    """A request that is answered here: its status and one line of reason."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class Request:
+    """A request as it comes: its head, and its body as far as that is here."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]  # those that the proxy reads
+    lines: bytes  # the end-to-end headers, each with its line end, but for the time
+    body: Body
+    keep_alive: bool
+    knows_chunks: bool  # the caller's version of HTTP has them
+    arrived: float = math.inf  # the loop's time of its last byte
+    fault: Rejected | None = None
+
+
+@dataclass(slots=True)
+class Facts:
+    """What the decisions need of a request."""
+
+    kind: int
+    tenant: int
+    timeout: float
+    cost: float
+    retry: bool
+
+
+def classify(config: Config, request: Request) -> Facts:
+    """Read what the decisions need; raises Rejected where it is malformed or unknown."""
+    get = request.headers.get
+    if not get(b"x-request-id"):
+        raise Rejected(400, "no request id")
+    name = get(b"x-priority-class", b"").decode("latin-1")
+    kind = config.classes.get(name)
+    if kind is None:
+        raise Rejected(400, "unknown class")
+    method, keyed = METHODS[config.settings.classes[kind].repeat]
+    if request.method != method or (keyed and not get(b"idempotency-key")):
+        raise Rejected(400, "the method does not fit the class")
+    tenant: int | None = 0
+    if config.tenants:
+        tenant = config.tenants.get(get(b"x-tenant-id", b"").decode("latin-1"))
+    if tenant is None:
+        raise Rejected(400, "unknown tenant")
+    timeout = get(b"x-timeout", b"")
+    if not TIME.fullmatch(timeout):
+        raise Rejected(400, "the time is malformed")
+    cost = get(b"x-cost", b"")
+    guess = float(cost) / 1e6 if TIME.fullmatch(cost) else 0.0
+    return Facts(kind, tenant, float(timeout), guess, get(b"x-retried") == b"1")
--- a/tests/simulation/callers.py
+++ b/tests/simulation/callers.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lugspur.server import Caller, Front
+from lugspur.caller import Caller
+from lugspur.front import Front
 from simulation.clock import World
 from simulation.link import Link, Peer, Transport
 from simulation.network import Network
--- a/tests/simulation/process.py
+++ b/tests/simulation/process.py
@@ -20,7 +20,7 @@
 from lugspur.config import Config
 from lugspur.orders import OrderBook
 from lugspur.proxy import Proxy
-from lugspur.server import Rejected
+from lugspur.request import Rejected
 from simulation.callers import Callers
 from simulation.clock import PROCESS, World
 from simulation.network import Address, Network
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -180,7 +180,7 @@
                 await soon(one.got.get())
                 half.writer.write(book(2)[:-1])
                 await until(lambda: any(caller.begun for caller in up.proxy.front.callers))
-                monkeypatch.setattr("lugspur.server.IDLE_AFTER_DRAIN", 0.0)
+                monkeypatch.setattr("lugspur.front.IDLE_AFTER_DRAIN", 0.0)
                 for _ in range(2):
                     assert status(await say(port, "/api/evacuate")) == 200
                 assert status(await (await up.client()).ask(HEALTHZ)) == 503
@@ -208,7 +208,7 @@
 def test_coming_back_soon_keeps_the_callers(monkeypatch: pytest.MonkeyPatch) -> None:
     async def play() -> None:
         async with operated([]) as (up, port):
-            monkeypatch.setattr("lugspur.server.IDLE_AFTER_DRAIN", 0.05)
+            monkeypatch.setattr("lugspur.front.IDLE_AFTER_DRAIN", 0.05)
             idle = await up.client()
             assert status(await idle.ask(HEALTHZ)) == 200
             await say(port, "/api/evacuate")
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -10,9 +10,10 @@
 import pytest
 from loopback import HOST, OK, WIDE, backend, book, entry, read, read_message, running, soon, status, until
 
-from lugspur import server
+from lugspur import caller as caller_module
 from lugspur.body import BODY_MOST, HELD_MOST, Body
-from lugspur.server import HEAD_TICKS, PACE_LEAST, TICK, origin_form
+from lugspur.caller import HEAD_TICKS, PACE_LEAST, TICK
+from lugspur.request import origin_form
 
 LARGE = bytes(range(256)) * (4 << 12)  # 4 MiB
 HEAD = b"HTTP/1.1 200 OK\r\nX-Note: n\r\nContent-Length: %d\r\n\r\n" % len(LARGE)
@@ -386,7 +387,7 @@
 
 def test_a_body_without_end_is_cut_off(monkeypatch: pytest.MonkeyPatch) -> None:
     async def script() -> None:
-        monkeypatch.setattr(server, "BODY_MOST", len(LARGE))
+        monkeypatch.setattr(caller_module, "BODY_MOST", len(LARGE))
         async with peer() as one, running([entry("a", one.address)]) as up:
             client = await up.client()
             client.writer.write(book(Content_Length="", Transfer_Encoding="chunked", body=b""))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,8 +29,9 @@
 
 from jaspershelf.model import Limits
 from lugspur.body import HELD_MOST
+from lugspur.caller import AHEAD_MOST, LINGER, QUEUED_MOST, Caller
 from lugspur.exchange import STUCK
-from lugspur.server import AHEAD_MOST, LINGER, LINGERERS, QUEUED_MOST, Caller
+from lugspur.front import LINGERERS
 
 
 def raw(port: int) -> socket.socket:
@@ -379,7 +380,7 @@
         assert len(self._front.callers) <= self._front.most + LINGERERS
 
     monkeypatch.setattr(Caller, "connection_made", counted)
-    monkeypatch.setattr("lugspur.server.LINGER", WIDE)  # none ends by itself meanwhile
+    monkeypatch.setattr("lugspur.caller.LINGER", WIDE)  # none ends by itself meanwhile
 
     async def play() -> None:
         async with running([], sockets=48 + 8) as up:  # 4 callers
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -33,9 +33,10 @@
 from lugspur.backend_connection import Backend as Known
 from lugspur.backend_connection import Connection
 from lugspur.call import Call
+from lugspur.caller import Caller
 from lugspur.exchange import Exchange
 from lugspur.proxy import Proxy
-from lugspur.server import Caller, Facts, Request
+from lugspur.request import Facts, Request
 from lugspur.upstream import Upstream
 
 PARTIAL = b"HTTP/1.1 200 OK\r\n\r\nhalf of it"  # no length: only an end without a reset ends it
--- a/tests/test_end_news.py
+++ b/tests/test_end_news.py
@@ -12,8 +12,8 @@
 from test_unread_news import news, watch
 
 from lugspur.__main__ import drain, hand_over
+from lugspur.front import Front
 from lugspur.proxy import Proxy
-from lugspur.server import Front
 
 End = Callable[[Proxy, socket.socket], Awaitable[None]]
 
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -36,9 +36,9 @@
 from jaspershelf.model import Discovery as Mode
 from lugspur.__main__ import end
 from lugspur.discovery import CALL_MOST
+from lugspur.front import Front
 from lugspur.orders import OrderBook, Orders
 from lugspur.proxy import KNOWN_MORE, KNOWN_MOST, Proxy
-from lugspur.server import Front
 
 ROOT = Path(__file__).parent.parent
 EVACUATE = b"POST /api/evacuate HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -14,7 +14,6 @@
 # Lines that are not blank. Those named here are to be taken apart, and may only shrink; all others have 500.
 LINES_MOST = {
     "decide.py": 1100, "slopes.py": 585, "overload_model.py": 598, "spread.py": 590, "swim.py": 553,
-    "server.py": 565,
 }
 LINES_MOST_ELSE = 500
 
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -37,10 +37,10 @@
 from lugspur import __main__ as main_module
 from lugspur.__main__ import drain
 from lugspur.body import BODY_MOST, HELD_MOST
+from lugspur.caller import HEAD_TICKS, TICK, Caller
 from lugspur.config import load
 from lugspur.events import MOST
 from lugspur.proxy import Proxy
-from lugspur.server import HEAD_TICKS, TICK, Caller
 
 ROOT = Path(__file__).parent.parent
 CHUNKED = book(Content_Length="", Transfer_Encoding="chunked", body=b"2\r\nro\r\n2\r\nom\r\n0\r\n\r\n")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,7 @@
 MISTAKES = {
     "answers come after their time": "import lugspur.proxy; lugspur.proxy.ANSWER_EARLY = -3.0",
     "connections are aborted, not shut down":
-        "from lugspur.server import Caller, Front; "
+        "from lugspur.caller import Caller; from lugspur.front import Front; "
         "Front.close = lambda self: [caller.abort() for caller in tuple(self.callers)]",
     "the listener is left at once, and callers stay": "m.let_go = lambda front: m.asyncio.sleep(9.0)",
 }
--- a/tests/test_unread_news.py
+++ b/tests/test_unread_news.py
@@ -31,7 +31,8 @@
 )
 from test_crossings_upstream import Raw, raw
 
-from lugspur.server import Caller, Facts, Request
+from lugspur.caller import Caller
+from lugspur.request import Facts, Request
 from lugspur.unread import Inbox
 
 ROOT = Path(__file__).parent.parent
