--- a/lugspur/cli.py
+++ b/lugspur/cli.py
@@ -13,7 +13,7 @@
 
 import orjson
 
-from lugspur import __main__ as program
+from lugspur import process as program
 from lugspur.config import ConfigError, load, sources
 from lugspur.discovery import Reader
 
--- a/lugspur/lab/held_start.py
+++ b/lugspur/lab/held_start.py
@@ -9,7 +9,7 @@
 
 import sys
 
-from lugspur.__main__ import main
+from lugspur.process import main
 
 if __name__ == "__main__":
     sys.exit(main() if sys.stdin.readline() else 0)
--- a/tests/simulation/process.py
+++ b/tests/simulation/process.py
@@ -15,7 +15,7 @@
 import orjson
 from drain_rule import Exclusion, Message, Process, Span
 
-from lugspur import __main__ as program
+from lugspur import process as program
 from lugspur.accept import Acceptor
 from lugspur.config import Config
 from lugspur.orders import OrderBook
--- a/tests/simulation/run.py
+++ b/tests/simulation/run.py
@@ -344,7 +344,7 @@
                     mock.patch("lugspur.proxy.time", self.wall),
                     mock.patch("lugspur.proxy.log.error", self._logged),
                     mock.patch.dict(os.environ, {"RELAY_CONFIG": str(self.file)}),
-                    mock.patch("lugspur.__main__.complain", lambda fault: None),
+                    mock.patch("lugspur.process.complain", lambda fault: None),
                 ):
                     stack.enter_context(patch)
                 yield
--- a/tests/test_end_news.py
+++ b/tests/test_end_news.py
@@ -11,8 +11,8 @@
 from test_crossings_upstream import Raw, raw
 from test_unread_news import news, watch
 
-from lugspur.__main__ import drain, hand_over
 from lugspur.front import Front
+from lugspur.process import drain, hand_over
 from lugspur.proxy import Proxy
 
 End = Callable[[Proxy, socket.socket], Awaitable[None]]
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -34,10 +34,10 @@
 )
 
 from jaspershelf.model import Discovery as Mode
-from lugspur.__main__ import end
 from lugspur.discovery import CALL_MOST
 from lugspur.front import Front
 from lugspur.orders import OrderBook, Orders
+from lugspur.process import end
 from lugspur.proxy import KNOWN_MORE, KNOWN_MOST, Proxy
 
 ROOT = Path(__file__).parent.parent
@@ -267,7 +267,7 @@
 
 SIGNALS_AFTER_THE_LOOP = """
 import os, signal, sys
-import lugspur.__main__ as program
+import lugspur.process as program
 run = program.run
 def run_and_signal(main):
     run(main)
--- a/tests/test_faults_log.py
+++ b/tests/test_faults_log.py
@@ -146,7 +146,7 @@
 
 def test_the_process_logs_through_it_alone() -> None:
     program = (
-        "import logging, lugspur.__main__ as m; m.main(); "
+        "import logging, lugspur.process as m; m.main(); "
         "print([type(h).__name__ for h in logging.getLogger().handlers])"
     )
     env = {**os.environ, "RELAY_CONFIG": "/nonexistent"}
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -34,12 +34,12 @@
     watches,
 )
 
-from lugspur import __main__ as main_module
-from lugspur.__main__ import drain
+from lugspur import process as main_module
 from lugspur.body import BODY_MOST, HELD_MOST
 from lugspur.caller import HEAD_TICKS, TICK, Caller
 from lugspur.config import load
 from lugspur.events import MOST
+from lugspur.process import drain
 from lugspur.proxy import Proxy
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,7 +32,7 @@
 
 @pytest.mark.parametrize("mistake", MISTAKES)
 def test_a_mistake_at_the_end_is_caught(mistake: str) -> None:
-    program = ("-c", f"import sys, lugspur.__main__ as m; {MISTAKES[mistake]}; sys.exit(m.main())")
+    program = ("-c", f"import sys, lugspur.process as m; {MISTAKES[mistake]}; sys.exit(m.main())")
     assert play(0, all_hang_at_the_end, program).broken
 
 
