--- a/lugspur/selector.py
+++ b/lugspur/selector.py
@@ -102,10 +102,17 @@
     def __init__(self) -> None:
         super().__init__()
         self.looked_at = time.monotonic()  # when the last look was over
+        self._longest_turn = 0.0
+
+    def take_longest_turn(self) -> float:
+        """Seconds of the longest time between two looks since the last call."""
+        longest, self._longest_turn = self._longest_turn, 0.0
+        return longest
 
     def select(self, timeout: float | None = None) -> Events:
         """As the selector's own."""
         begun = time.monotonic()
+        self._longest_turn = max(self._longest_turn, begun - self.looked_at)
         events = super().select(timeout)
         self.looked_at = time.monotonic()
         if not events and timeout is not None and self.looked_at - begun > max(timeout, 0.0) + OVERSLEPT:
