--- a/lugspur/events.py
+++ b/lugspur/events.py
@@ -24,6 +24,7 @@
 SPAN = 10.0  # ...in so many seconds
 SUBJECTS = ("member", "file", "reason", "error")  # the fields that tell one repeat from another
 PIECE = select.PIPE_BUF  # bytes that a pipe with any room takes without waiting
+SUBJECT_LENGTH = 200  # characters of a subject that tell it from another
 KEYS_MOST = 2_000  # events and subjects that are counted at a time
 
 Render = Callable[[str, dict[str, Any]], str]
@@ -56,7 +57,7 @@
         if self.muted:
             return
         now = self._clock()
-        key = (event, *[str(fields[name]) for name in SUBJECTS if name in fields])
+        key = (event, *[str(fields[name])[:SUBJECT_LENGTH] for name in SUBJECTS if name in fields])
         count = self._counts.get(key)
         if count is None or now - count[0] >= SPAN:
             if len(self._counts) >= KEYS_MOST:
--- a/lugspur/trace.py
+++ b/lugspur/trace.py
@@ -25,6 +25,7 @@
 RATE = 40.0  # records a second of one topic, in the long run...
 BURST = 200.0  # ...and at once
 NAMES_MOST = 20  # of servers, in one record
+TEXT_MOST = 200  # bytes or characters of one field
 
 
 class _Budget:
@@ -71,7 +72,7 @@
         return not self._target.muted
 
     def record(self, event: str, **fields: Any) -> None:
-        """Keep one record; `event` is `topic.what`."""
+        """Keep one record; `event` is `topic.what`. Long text of peers is cut."""
         if self._target.muted:
             return
         now = self._clock()
@@ -81,6 +82,9 @@
             budget = self._budgets[topic] = _Budget(now)
         if not budget.take(now):
             return
+        for name, value in fields.items():
+            if isinstance(value, (bytes, str)) and len(value) > TEXT_MOST:
+                fields[name] = value[:TEXT_MOST]
         self._records.append((now, event, fields))
         if len(self._records) >= BUFFERED_MOST or (self._flush_due is not None and now > self._flush_by):
             self.flush()
--- a/lugspur/unread.py
+++ b/lugspur/unread.py
@@ -5,7 +5,7 @@
 import asyncio
 import select
 
-READS_MOST = 16  # of the loop, that are waited for until all is read: they bring the longest message
+READS_MOST = 64  # of the loop, that are waited for until all is read: they bring the longest message
 
 
 class Inbox:
