--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -434,6 +434,16 @@
         """Whether the list has ever named this server."""
         return server in self.servers
 
+    def forget(self, most: int) -> list[ServerId]:
+        """Drop the longest known of the idle servers that are gone, beyond so many; which these are."""
+        gone = [n for n, s in self.servers.items()
+                if s.row.state is State.GONE and not s.out and n not in self.excluded]
+        for server in (dropped := gone[:max(0, len(gone) - most)]):
+            del self.servers[server]
+            self.returned.pop(server, None)
+            self.touched.pop(server, None)
+        return dropped
+
     def takes(self, server: ServerId) -> bool:
         """Whether anything new may go to this server at all."""
         known = self.servers.get(server)
--- /dev/null
+++ b/jaspershelf/overload.py
@@ -0,0 +1,115 @@
+"""Overload control by memory: how much may be read, whether new work is refused, and who gives up what.
+
+All that peers can make a process hold is added up by whoever holds it (`lugspur.memory`). From that sum and
+the process's limit this module decides, in three steps, the earlier the milder: connections are read in
+smaller pieces, new requests are refused, and whoever holds most gives up what was not taken on yet.
+Sans-I/O; sizes are in bytes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from math import inf
+
+KIB, MIB = 1 << 10, 1 << 20
+BUDGET_PART = 0.4  # of the memory above the process's own: objects and fragments cost about as much again
+BUDGET_LEAST = 4 * MIB  # whatever the limit: connections alone cost as much
+ALLOWANCE_PART = 0.2  # of what the system's own limits leave: beyond those an allocation fails at once
+FAILED_LEAST = MIB  # the least budget where the system gives no more
+REFUSE_FROM, REFUSE_UNTIL = 0.7, 0.6  # parts of the budget between which refusing begins and ends
+RELIEVED = 0.8  # part of the budget down to which holders give up what they hold
+READ_MOST, READ_LEAST = 64 * KIB, 2 * KIB  # of one connection at a time
+READ_PART = 1 / 16  # of what is free: many connections read in one turn of the loop
+FAILED_PART = 0.75  # of what was held when an allocation failed: the budget from then on
+RESIDENT_PART = 0.85  # of the memory above the process's own, from which the resident size counts as too much
+TELLING_PART = 0.1  # of the budget that has to be held for giving it up to lessen the resident size
+SERVERS_ALWAYS = 4_000  # names of servers that are kept whatever the limit: a fleet has 3,200...
+SERVERS_MOST = 6_400  # ...and at the most
+SERVER_COST = 1_500  # bytes that the process keeps for one name of a server
+SERVERS_PART = 0.25  # of the memory above the process's own that names may take
+
+
+class MemoryOverload:
+    """The state of overload of one process; without a limit there is none."""
+
+    def __init__(self, limit: int | None = None) -> None:
+        """`limit` is the memory that the process may have."""
+        self._limit = limit
+        self._shared_by = 1  # processes
+        self._rest = 0  # resident size of the process with nothing held
+        self._ceiling = inf  # of the budget, once an allocation has failed
+        self._standing = 0
+        self.budget = inf
+        self.quiet = inf  # as long as no more is held, and nothing is refused, there is nothing to decide
+        self.refusing = False
+
+    @property
+    def _headroom(self) -> float:
+        return inf if self._limit is None else max(0.0, self._limit / self._shared_by - self._rest)
+
+    def start(self, resident: int, allowance: float = inf) -> None:
+        """Serve from here on, with this resident size before anything is held.
+
+        `allowance` is what the system's limits on the process leave it.
+        """
+        self._rest = resident
+        self._ceiling = min(self._ceiling, max(FAILED_LEAST, ALLOWANCE_PART * allowance))
+        self._set_budget()
+
+    def share(self, processes: int) -> None:
+        """So many processes have the limit together."""
+        self._shared_by = processes
+        self._set_budget()
+
+    def keep(self, standing: int) -> None:
+        """So much is kept for good, and leaves less for what comes and goes."""
+        self._standing = standing
+        self._set_budget()
+
+    def allocation_failed(self, held: int) -> None:
+        """The system gave no more memory while so much was held: the limit is lower than stated."""
+        self._ceiling = min(self._ceiling, max(FAILED_LEAST, FAILED_PART * held))
+        self._set_budget()
+
+    def _set_budget(self) -> None:
+        stated = max(BUDGET_LEAST, BUDGET_PART * self._headroom - self._standing)
+        self.budget = float(min(stated, self._ceiling))
+        self.quiet = min(REFUSE_UNTIL * self.budget, self.budget - READ_MOST / READ_PART)
+
+    def servers_most(self) -> int:
+        """Names of servers that may be kept, with those that are gone."""
+        if self._limit is None:
+            return SERVERS_MOST
+        return int(min(SERVERS_MOST, max(SERVERS_ALWAYS, SERVERS_PART * self._headroom / SERVER_COST)))
+
+    def read_size(self, held: int) -> int:
+        """How much may be read of one connection now: less and less, as what is free runs out."""
+        free = (self.budget - held) * READ_PART
+        return READ_MOST if free >= READ_MOST else max(READ_LEAST, int(free))
+
+    def update(self, held: int) -> bool:
+        """Take note of what is held now; whether holders have to give some of it up."""
+        if held > REFUSE_FROM * self.budget:
+            self.refusing = True
+        elif held < REFUSE_UNTIL * self.budget:
+            self.refusing = False
+        return held > self.budget
+
+    def is_resident_too_large(self, resident: int, held: int) -> bool:
+        """Whether the process is near its limit, and giving up what is held would help."""
+        near = resident > self._rest + RESIDENT_PART * self._headroom
+        return near and held > TELLING_PART * self.budget
+
+    def relieved(self) -> float:
+        """How much may be held once holders have given up enough."""
+        return RELIEVED * self.budget
+
+
+def largest_first(sizes: Sequence[int], owing: Sequence[bool] = ()) -> list[int]:
+    """In which order holders give up what they hold, by their place; those that hold nothing are left out.
+
+    `owing` tells which of them have taken something on that is owed: those come last.
+    """
+    holding = [place for place, size in enumerate(sizes) if size]
+    holding.sort(key=sizes.__getitem__, reverse=True)
+    return sorted(holding, key=owing.__getitem__) if owing else holding
--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -11,14 +11,16 @@
 import httptools
 
 from lugspur.accept import Acceptor
-from lugspur.caller import LINGER
+from lugspur.caller import LINGER, SPENT
 from lugspur.events import log
 from lugspur.listening import listening_socket
+from lugspur.memory import READ_BUFFER, Account, Purpose
 from lugspur.request import Rejected, path_of
 
 ADMIN_SOCKETS = 16  # callers at a time, of the spare descriptors: the next one takes the oldest one's place
 CALL_WITHIN = 2.0  # seconds for a whole call: silent callers stay for 4 if they may
 CALL_MOST = 8 << 10  # bytes of a call's body: an id is far shorter
+SENT_MOST = 32 << 10  # bytes that a caller may send in all, its head among them
 FINISH = 0.5  # seconds at the end for calls that are being answered: a file's disk may stand still so long
 WAITING = 64  # callers that may wait to be accepted
 
@@ -34,8 +36,9 @@
 class Admin:
     """All connections of operators, within a number of their own."""
 
-    def __init__(self, routes: Mapping[bytes, Route]) -> None:
+    def __init__(self, routes: Mapping[bytes, Route], account: Account | None = None) -> None:
         self.routes = dict(routes)
+        self.account = account or Account()
         self.calls: dict[_Call, None] = {}  # the oldest first
 
     async def listen(self, address: tuple[str, int]) -> socket.socket:
@@ -57,7 +60,7 @@
             await asyncio.wait(tasks, timeout=FINISH)
 
 
-class _Call(asyncio.Protocol):
+class _Call(asyncio.BufferedProtocol):
     """One connection and the one call on it."""
 
     def __init__(self, admin: Admin) -> None:
@@ -68,6 +71,8 @@
         self._body = b""
         self._expects = False
         self._answered = False
+        self._sent = 0  # bytes by the caller
+        self._held = admin.account.holding(Purpose.OPERATORS)
         self.task: asyncio.Task[None] | None = None  # answers it, once it has come whole
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -82,6 +87,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._admin.calls.pop(self, None)
         self._timer.cancel()
+        self._forget()
+
+    def _forget(self) -> None:
+        self._parser = SPENT  # the one before keeps what it has read of a head
+        self._target = self._body = b""
+        self._held.set(0)
 
     def _drop(self) -> None:
         self._admin.calls.pop(self, None)
@@ -90,11 +101,21 @@
     def _late(self) -> None:
         self._answer(408, b"the call took too long\n")
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next bytes go: what is read is taken up before anything else is read."""
+        return self._admin.account.read_buffer()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come."""
         if self._answered:
             return
+        self._sent += nbytes
+        self._held.set(self._sent)
+        if self._sent > SENT_MOST:  # Guards the memory limit against a call without end.
+            self._answer(400, b"the call is too large\n")
+            return
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(READ_BUFFER[:nbytes])
         except httptools.HttpParserUpgrade:
             pass  # offered, not taken: the call has been answered as it is
         except httptools.HttpParserError:
@@ -146,6 +167,7 @@
         if self._answered:
             return
         self._answered = True
+        self._forget()
         self._timer.cancel()
         self._transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (
             status, HTTPStatus(status).phrase.encode(), head, len(body), body
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -12,7 +12,9 @@
 from jaspershelf.model import Outcome
 from lugspur.body import HELD_MOST
 from lugspur.config import Address
+from lugspur.events import log
 from lugspur.exchange import Exchange, Response
+from lugspur.memory import CONNECTION_COST, READ_BUFFER, Purpose
 from lugspur.trace import trace
 
 if TYPE_CHECKING:
@@ -21,7 +23,9 @@
 STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
 STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
 STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
-READ_BUFFER = memoryview(bytearray(HELD_MOST))  # of all connections: each takes up what it reads at once
+ANSWER_HEAD_MOST = 64 << 10  # bytes of an answer's head, and of what stands between the parts of its body
+HEADERS_MOST = 1_000  # of one head: each costs time
+SPENT = httptools.HttpResponseParser(object())  # in place of one whose connection reads no more
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -61,11 +65,17 @@
         self._sent = 0.0  # when its request was written
         self._parser = httptools.HttpResponseParser(self)
         self._last = False  # the request's last byte has been handed to the transport
+        self._account = account = upstream.account
+        self._connection_held = account.holding(Purpose.CONNECTIONS)
+        self._answer_held = account.holding(Purpose.ANSWERS)
+        self._unsent_held = account.holding(Purpose.BODIES)
+        self._head_size = 0  # bytes that have come since the request was written, or the last of the body
         self._begin()
 
     def _begin(self) -> None:
-        self._head: list[bytes] = []
-        self._body: list[bytes] = []
+        self._head = bytearray()
+        self._header_count = 0
+        self._body = bytearray()  # what is held of it, or is still to be passed on
         self._size = 0
         self._length: int | None = None
         self._in_chunks = False
@@ -78,6 +88,8 @@
         transport.set_write_buffer_limits(high=0)  # resume_writing then tells that all is out
         self._poll = select.poll()
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self._account.holders[self] = None
+        self._connection_held.set(CONNECTION_COST)
         self._upstream.made()
 
     # ---- the request ----------------------------------------------------------------------------
@@ -90,6 +102,7 @@
         says by then. Once its first byte is out a request may take its time.
         """
         self.written = False
+        self._head_size = 0
         self._sent = self._upstream.now()
         body = exchange.body.held()
         self._last = body is not None
@@ -101,6 +114,7 @@
         trace.record("attempt.sent", id=exchange.name, n=exchange.number, fresh=self.is_fresh())
         self.exchange = exchange
         exchange.connection = self
+        self._note_unsent()
         if body is None:
             exchange.body.attach(self)
         else:
@@ -115,6 +129,7 @@
         """The next bytes of the body."""
         in_chunks = self.exchange is not None and self.exchange.body.length is None
         self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if in_chunks else data)
+        self._note_unsent()
 
     def end_body(self) -> None:
         """The body is complete."""
@@ -137,6 +152,7 @@
         """A part of the request is still unsent."""
 
     def resume_writing(self) -> None:
+        self._note_unsent()
         if self.exchange is not None:
             self.exchange.moved()
             if not self._last:
@@ -171,23 +187,65 @@
             trace.record("backend.closed", to=self._to[0], reason=reason)
         self.exchange = None
         self._transport.abort()
+        self._release()
+
+    def _release(self) -> None:
+        """Hold nothing more of it."""
+        self._account.holders.pop(self, None)
+        self._parser = SPENT  # the one before keeps what it has read of a head
+        self._body.clear()
+        for holding in (self._connection_held, self._answer_held, self._unsent_held):
+            holding.set(0)
+
+    # ---- memory ----------------------------------------------------------------------------
+
+    def held(self) -> int:
+        """Bytes that are held for the connection, of an answer, and of what the server does not read."""
+        self._note_unsent()
+        return self._connection_held.size + self._answer_held.size + self._unsent_held.size
+
+    def owes(self) -> bool:
+        """Whether an attempt is under way."""
+        return self.exchange is not None
+
+    def shed(self) -> None:
+        """End an attempt that holds something: its request is tried again or answered as failed."""
+        if self.exchange is not None and self._answer_held.size + self._unsent_held.size:
+            self._spoilt()
+
+    def reset(self) -> None:
+        """End the attempt, and the connection."""
+        self._spoilt()
+
+    def _note_unsent(self) -> None:
+        self._unsent_held.set(self._transport.get_write_buffer_size())
 
     # ---- the answer -------------------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the next bytes go: what is read is taken up before anything else is read."""
-        return READ_BUFFER
+        return self._account.read_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """So many bytes have come."""
         if self.exchange is not None:
             self.exchange.moved()
+        self._head_size += nbytes
         try:
             self._parser.feed_data(READ_BUFFER[:nbytes])
-        except httptools.HttpParserCallbackError:
-            raise  # a fault of ours, not the backend's
+            self._pass_on_rest()
+        except httptools.HttpParserCallbackError as fault:  # a fault of ours, not the backend's
+            log.error("backend.fault", error=repr(fault.__context__)[:200])
+            self._spoilt()
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._spoilt()
+        if self.exchange is None:
+            self._answer_held.set(0)
+            return
+        self._answer_held.set(len(self._head) + len(self._body) + self._head_size)
+        if self._head_size > ANSWER_HEAD_MOST or self._header_count > HEADERS_MOST:  # Guards memory and time.
+            trace.record("backend.endless", to=self._to[0], id=self.exchange.name)
+            self._spoilt()
 
     def _spoilt(self) -> None:
         if self.exchange is not None:
@@ -203,6 +261,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if self._in_body:
             return  # a trailer
+        self._header_count += 1
         lower, value = name.lower(), value.strip(BLANKS)
         if lower == b"x-not-processed":
             self._unseen = value == b"1"
@@ -213,7 +272,7 @@
             if value.lower() != b"chunked":  # nobody asked for another one
                 self._spoilt()
         elif lower not in HOP_BY_HOP:
-            self._head.append(b"%b: %b\r\n" % (name, value))
+            self._head += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         self._in_body = True
@@ -241,13 +300,14 @@
         exchange = self.exchange
         if exchange is None:
             return
+        self._head_size = 0
         if exchange.pass_on is not None:
-            exchange.pass_on(body)
+            self._body += body
             return
         self._size += len(body)
         if self._parser.get_status_code() != 200:
             return  # an error's text serves nobody
-        self._body.append(body)
+        self._body += body
         if max(self._size, self._length or 0) > HELD_MOST:
             self._pass_on(exchange)
 
@@ -259,9 +319,17 @@
         self._body.clear()
         exchange.begin(beginning)
 
+    def _pass_on_rest(self) -> None:
+        """Pass on in one piece what one read has brought: an answer may come in chunks of a byte."""
+        exchange = self.exchange
+        if exchange is not None and exchange.pass_on is not None and self._body:
+            data = bytes(self._body)
+            self._body.clear()
+            exchange.pass_on(data)
+
     def _response(self) -> Response:
         status = self._parser.get_status_code()
-        return Response(status, b"".join(self._head), b"".join(self._body), self._length)
+        return Response(status, bytes(self._head), bytes(self._body), self._length)
 
     def on_message_complete(self) -> None:
         self._in_body = False
@@ -272,13 +340,15 @@
         exchange, status = self.exchange, self._parser.get_status_code()
         if exchange is None:
             return
+        self._pass_on_rest()
         self._answered = self._upstream.now()
         if exchange.paused:
             self.hold(False)
+        response = self._response()
         if self.written and keep_alive and self.usable():
             self.exchange = exchange.connection = None
             self._upstream.release(self)
-        exchange.end(self._outcome(status), self._response())
+        exchange.end(self._outcome(status), response)
 
     def _outcome(self, status: int) -> Outcome:
         if status == 200:
@@ -293,6 +363,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._upstream.lost(self)
+        self._release()
         if not self._transport.is_closing() or exc is not None:
             trace.record("backend.lost", to=self._to[0], error=repr(exc))
         if self.exchange is not None:
--- a/lugspur/backend_list.py
+++ b/lugspur/backend_list.py
@@ -45,6 +45,12 @@
             except Exception:
                 log.error("list.fault", member=server_name(server), exc_info=True)
 
+    def forget(self, server: ServerId) -> None:
+        """Nothing is kept of a backend that is gone."""
+        backend = self.backends.pop(server, None)
+        if backend is not None:
+            self._pool.update(backend, backend.address, backend.started, False)
+
     def refresh(self, server: ServerId) -> None:
         """Keep connections to a backend, or close those that are idle, as the module uses it or not."""
         backend = self.backends.get(server)
--- a/lugspur/body.py
+++ b/lugspur/body.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from lugspur.memory import Holding
+
 # Bytes of a body, a request's or an answer's, that are held: what the protocol once allowed as a whole.
 # Callers hold a third of the descriptors, 341 at most: with each at this bound that is 22 MB.
 HELD_MOST = 64 << 10
@@ -27,10 +29,13 @@
 class Body:
     """What is held of a body: all of it while it may be sent again, then only what no attempt has taken."""
 
-    __slots__ = ("arrived", "length", "let_go", "size", "throttled", "whole", "_gone", "_held", "_sent",
-                 "_sink", "_throttle")
+    __slots__ = ("arrived", "length", "let_go", "size", "throttled", "whole", "_gone", "_held", "_holding",
+                 "_sent", "_sink", "_throttle")
 
-    def __init__(self, length: int | None, throttle: Callable[[bool], None]) -> None:
+    def __init__(
+        self, length: int | None, throttle: Callable[[bool], None], holding: Holding | None = None
+    ) -> None:
+        """`throttle` is told whether the caller has to wait; `holding` accounts for what is held."""
         self.length = length  # as declared; None: it comes in chunks
         self.size = 0  # bytes that have come
         self.whole = False
@@ -40,20 +45,43 @@
         self._gone = 0  # bytes before those held
         self._sent = 0  # bytes that the sink has been given
         self._sink: Sink | None = None
-        self._throttle = throttle  # told whether the caller has to wait
+        self._throttle = throttle
+        self._holding = holding
         self.throttled = False  # the caller has to wait
 
     def held(self) -> bytes | None:
         """The whole body, where it has come and is held."""
         return bytes(self._held) if self.whole and not self._gone else None
 
+    def held_size(self) -> int:
+        """Bytes that are held now."""
+        return len(self._held)
+
     def feed(self, data: bytes) -> None:
-        """The caller's next bytes."""
+        """The caller's next bytes, which go on at once."""
+        self.append(data)
+        self.flush()
+
+    def append(self, data: bytes) -> None:
+        """The caller's next bytes, which go on with the next `flush`."""
         self.size += len(data)
         self._held += data
+
+    def flush(self) -> None:
+        """Send on what has come."""
         if self.size != self.length:  # Guards against an attempt for nobody: its last bytes go with `finish`
             self._pump()
 
+    def release(self) -> None:
+        """Nobody needs it any more."""
+        self._sink = None
+        self._held.clear()
+        self._account()
+
+    def _account(self) -> None:
+        if self._holding is not None:
+            self._holding.set(len(self._held))
+
     def finish(self) -> None:
         """The caller has sent all of it."""
         self.whole = True
@@ -94,6 +122,7 @@
             if self.whole:
                 self._sink = None
                 sink.end_body()
+        self._account()
         # What is whole waits for nothing more: to read no further would hide that its caller leaves.
         waits = not self.whole and self._gone + len(self._held) - self._sent > HELD_MOST
         if waits != self.throttled:
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -12,22 +12,26 @@
 
 import httptools
 
-from lugspur.backend_connection import BLANKS, HOP_BY_HOP, READ_BUFFER
+from lugspur.backend_connection import BLANKS, HEADERS_MOST, HOP_BY_HOP
 from lugspur.body import BODY_MOST, HELD_MOST, Body
+from lugspur.events import log
 from lugspur.exchange import STUCK, Exchange, Response
-from lugspur.request import NAMED, Rejected, Request, classify, origin_form, path_of
+from lugspur.memory import CONNECTION_COST, OUT_OF_MEMORY, READ_BUFFER, REQUEST_COST, Purpose
+from lugspur.request import NAMED, Rejected, Request, classify, closing_reason, origin_form, path_of
 from lugspur.trace import trace
+from lugspur.unread_answers import UNREAD_MOST, UnreadAnswers
 
 if TYPE_CHECKING:
     from lugspur.front import Front
 
-HEAD_MOST = 64 << 10  # bytes of a request's head
+HEAD_MOST = 64 << 10  # bytes of a request's head, and of what stands between the parts of its body
 TICK = 1.25  # seconds between looks at a request that is coming in
 HEAD_TICKS = 2  # looks after which a head has to be complete: it may take 2 s, and a bad peer 3
 PACE_LEAST = 16e3  # bytes a second of a body that is coming in: a quarter of what callers are said to send
 LINGER = 1.0  # seconds of a lingering close in which what still comes is read: a reset would eat the answer
 AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that a caller may send behind a request that is being served...
 QUEUED_MOST = 32  # ...and whole requests
+SPENT = httptools.HttpRequestParser(object())  # in place of one whose connection reads no more
 
 
 class Caller(asyncio.BufferedProtocol):
@@ -41,6 +45,7 @@
         self._incoming: Request | None = None  # its head is complete, its body is not
         self._serving: Request | None = None
         self._full = False  # the caller takes nothing now
+        self._unread: UnreadAnswers | None = None  # looks after what the caller does not read
         self._source: Exchange | None = None  # whose answer is passed on as it comes...
         self._in_chunks = self._framed = False  # ...and how
         self._dropping = False  # what further comes in is read and dropped
@@ -51,14 +56,20 @@
         self._limit: asyncio.TimerHandle | None = None  # the next look at it
         self._kind: int | None = None  # the class of the request that is being served...
         self._taken = False  # ...and whether it has come whole
+        self._handed_on = False  # the request that is being served is released by whom it was handed to
+        self._head_size = 0  # bytes that have come of the head, or since the last of the body
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
+        self._account = account = front.account
+        self._connection_held = account.holding(Purpose.CONNECTIONS)
+        self._head_held = account.holding(Purpose.HEADS)
+        self._unsent_held = account.holding(Purpose.ANSWERS)
         self._begin()
 
     def _begin(self) -> None:
-        self._target: list[bytes] = []
+        self._target = bytearray()
         self._headers: dict[bytes, bytes] = {}
-        self._lines: list[bytes] = []
-        self._head_size = 0
+        self._lines = bytearray()
+        self._header_count = 0
         self._length: int | None = 0
         self._expects = False
 
@@ -67,14 +78,24 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._account.holders[self] = None
+        self._connection_held.set(CONNECTION_COST)
         self._front.admit(self)
         self._watch()
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._front.callers.discard(self)
         self._front.lingering.pop(self, None)
+        self._release()
+
+    def _release(self) -> None:
+        """Hold nothing more of it."""
+        self._account.holders.pop(self, None)
         self._leave()
-        self._unwatch()
+        self._take_no_more()
+        self._unread = None
+        for holding in (self._connection_held, self._head_held, self._unsent_held):
+            holding.set(0)
 
     def eof_received(self) -> None:
         """The caller has gone: nothing of it is taken up any more, whatever is still to be written."""
@@ -83,10 +104,15 @@
 
     def _leave(self) -> None:
         self._front.waiting.pop(self, None)
-        self._queue.clear()
+        self._clear_queue()
         self._count_ended()
         self._tell_gone()
 
+    def _clear_queue(self) -> None:
+        for request in self._queue:
+            request.release()
+        self._queue.clear()
+
     def _tell_gone(self) -> None:
         gone, self.gone = self.gone, None
         if gone is not None:
@@ -105,9 +131,11 @@
             return
         if reason:
             trace.record("caller.closed", reason=reason, queued=len(self._queue))
+            if self.gone is not None:
+                self._account.violated("close_owing", reason)
         self._front.lingering[self] = None
         self._take_no_more()
-        self._queue.clear()
+        self._clear_queue()
         self._transport.resume_reading()
         try:
             self._transport.write_eof()
@@ -141,22 +169,62 @@
         self._full = True
         if self._source is not None:
             self._source.hold(True)
+        else:
+            self._unread = self._unread or UnreadAnswers(self._transport, self.reset, STUCK)
+            self._unread.begin()
 
     def resume_writing(self) -> None:
         self._full = False
+        self._note_unsent()
         if self._source is not None:
             self._source.hold(False)
+        self.take_up()
+
+    # ---- memory ----------------------------------------------------------------------------
+
+    def held(self) -> int:
+        """Bytes that are held for this caller."""
+        self._note_unsent()
+        requests = {id(row): row for row in (*self._queue, self._incoming, self._serving) if row is not None}
+        own = (self._connection_held, self._head_held, self._unsent_held)
+        return sum(row.size for row in own) + sum(row.held() for row in requests.values())
+
+    def owes(self) -> bool:
+        """Whether a request was taken up, or an answer is still on its way."""
+        return self._serving is not None or bool(self._queue) or self._unsent_held.size > 0
+
+    def shed(self) -> None:
+        """Refuse what is queued or still coming in, and end a connection that reads no answers."""
+        for request in self._queue:
+            if request is not self._incoming and request.fault is None:
+                request.refuse(Rejected(503, OUT_OF_MEMORY))
+                self._account.refused += 1
+        if self.begun:
+            self._account.refused += 1
+            self._reject(500 if self._serving is self._incoming is not None else 503, OUT_OF_MEMORY)
+            self.take_up()
+        if self._serving is None and self._unread is not None and self._unread.is_stuck():
+            self.abort("it reads no answers, and memory is short")
+
+    def reset(self) -> None:
+        """End the connection, and whatever is held for it."""
+        self.abort("it holds too much, or reads nothing")
+        self._release()
+
+    def _note_unsent(self) -> None:
+        self._unsent_held.set(self._transport.get_write_buffer_size())
+
+    # ---- what comes in ---------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the next bytes go: what is read is taken up before anything else is read."""
-        return READ_BUFFER
+        return self._account.read_buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """So many bytes have come."""
         if self._dropping:
             return
-        if self._incoming is None:
-            self._head_size += nbytes
+        self._head_size += nbytes
         if self._serving is not None and self._serving is not self._incoming:
             self._ahead += nbytes
             if self._ahead > AHEAD_MOST:  # Guards memory: to read no more would hide that the caller leaves.
@@ -164,13 +232,17 @@
                 return
         try:
             self._feed(READ_BUFFER[:nbytes])
-        except httptools.HttpParserCallbackError:
-            raise  # a fault of ours, not the caller's
+            if self._incoming is not None:
+                self._incoming.body.flush()
+        except httptools.HttpParserCallbackError as fault:  # a fault of ours, not the caller's
+            log.error("caller.fault", error=repr(fault.__context__)[:200])
+            self._reject(503 if isinstance(fault.__context__, MemoryError) else 500, "it could not be read")
         except httptools.HttpParserError:
             self._reject(400, "the request is malformed")
-        if self._incoming is None and self._head_size > HEAD_MOST:  # Guards the memory limit.
+        if self._head_size > HEAD_MOST:  # Guards the memory limit.
             self._reject(413, "the request is too large")
-        self._next()
+        self._head_held.set((self._head_size or nbytes) if self.begun else 0)
+        self.take_up()
         if self.begun and self._limit is None and not self._dropping:
             self._watch()
 
@@ -215,7 +287,7 @@
             self.close("it has sent nothing")
             return
         self._reject(408, "the request took too long")
-        self._next()
+        self.take_up()
 
     def _reject(self, status: int, reason: str) -> None:
         """Answer what can't be read to its end; the connection is of no further use."""
@@ -224,10 +296,8 @@
         incoming = self._incoming
         self._take_no_more()
         if incoming is None or incoming is not self._serving:
-            fault = Rejected(status, reason)
-            self._queue.append(Request(
-                b"", b"", {}, b"", Body(0, self._throttle), keep_alive=False, knows_chunks=False, fault=fault
-            ))
+            self._queue.append(Request.rejected(Rejected(status, reason)))
+            self._head_held.set(0)
             return
         self._tell_gone()
         if self._source is not None:
@@ -240,22 +310,32 @@
         self._dropping = True
         self.begun = self._continue_due = False
         self._unwatch()
+        self._parser = SPENT  # the one before keeps what it has read of a head
+        self._head_size = 0
+        self._begin()
         incoming, self._incoming = self._incoming, None
-        if incoming is not None and incoming in self._queue:
-            self._queue.remove(incoming)
+        if incoming is not None and incoming is not self._serving:
+            incoming.release()
+            if incoming in self._queue:
+                self._queue.remove(incoming)
 
     # ---- the parser's calls ----------------------------------------------------------------
 
     def on_message_begin(self) -> None:
-        self.begun = True
-        self._begin()
+        if not self._dropping:
+            self.begun = True
+            self._begin()
 
     def on_url(self, url: bytes) -> None:
-        self._target.append(url)
+        self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._incoming is not None:
-            return  # a trailer
+        if self._incoming is not None or self._dropping:
+            return  # a trailer, or of no use
+        self._header_count += 1
+        if self._header_count > HEADERS_MOST:  # Guards the loop: each takes time.
+            self._reject(413, "the request has too many headers")
+            return
         lower, value = name.lower(), value.strip(BLANKS)
         if lower in NAMED:
             self._headers[lower] = value
@@ -268,7 +348,7 @@
         elif lower == b"expect":
             self._expects = value.lower() == b"100-continue"
         if lower != b"x-timeout" and lower not in HOP_BY_HOP:
-            self._lines.append(b"%b: %b\r\n" % (name, value))
+            self._lines += b"%b: %b\r\n" % (name, value)
 
     def on_headers_complete(self) -> None:
         if self._dropping:
@@ -279,11 +359,19 @@
         if self._length != 0 and self._parser.should_upgrade():
             self._reject(400, "an upgrade takes no body")  # where it would end can't be read
             return
+        target = origin_form(bytes(self._target))
+        if self._account.overload.refusing and path_of(target) != b"/healthz":
+            self._reject(503, self._account.refuse())
+            return
+        holding = self._account.holding(Purpose.REQUESTS)
         self._incoming = Request(
-            self._parser.get_method(), origin_form(b"".join(self._target)), self._headers,
-            b"".join(self._lines), Body(self._length, self._throttle), self._parser.should_keep_alive(),
-            knows_chunks=self._parser.get_http_version() != "1.0",
+            self._parser.get_method(), target, self._headers, bytes(self._lines),
+            Body(self._length, self._throttle, self._account.holding(Purpose.BODIES)),
+            self._parser.should_keep_alive(), knows_chunks=self._parser.get_http_version() != "1.0",
+            holding=holding,
         )
+        holding.set(REQUEST_COST + len(target) + 2 * len(self._lines))  # some of it stands in the headers too
+        self._head_size = 0
         if self._expects and self._length != 0:
             self._continue_due = True
             if self._serving is None and not self._queue:
@@ -298,7 +386,8 @@
         if request is None:
             return
         before = request.body.size
-        request.body.feed(body)
+        self._head_size = 0
+        request.body.append(body)
         if request.body.size > BODY_MOST:
             self._reject(413, "the body is too large")
         elif before <= HELD_MOST < request.body.size:
@@ -324,7 +413,7 @@
             return
         if request is self._serving and self._kind is not None:
             self._count_taken()
-        self._loop.call_later(0.0, request.body.finish)  # Guards against attempts for nobody, as in `_next`
+        self._loop.call_later(0.0, request.body.finish)  # Guards against attempts for nobody, as in `take_up`
 
     def _throttle(self, waits: bool) -> None:
         """Have the caller wait until its body has gone on, or no longer."""
@@ -335,14 +424,17 @@
 
     # ---- requests and answers --------------------------------------------------------------
 
-    def _next(self) -> None:
+    def take_up(self) -> None:
         """Have the next request taken up, once the loop has looked at its connection once more.
 
         Guards against requests whose caller has left already: that it did lies behind them, still unread. A
         timer that is due runs after what the loop has found to read.
         """
-        if self._queue and self._serving is None and self._due is None:
-            self._front.waiting.pop(self, None)
+        if not self._queue or self._serving is not None or self._due is not None:
+            return
+        self._front.waiting.pop(self, None)
+        # Guards memory against callers that read no answers.
+        if self._transport.get_write_buffer_size() <= UNREAD_MOST or self._front.closing:
             self._due = self._loop.call_later(0.0, self._take)
 
     def _take(self) -> None:
@@ -358,6 +450,10 @@
             trace.record("request.rejected", id=request.headers.get(b"x-request-id", b""),
                          status=fault.status, reason=fault.reason)
             self.answer(fault.status, b"", fault.reason.encode() + b"\n")
+        except Exception:  # Guards the request: its caller is owed an answer, whatever failed.
+            log.error("caller.fault", exc_info=True)
+            if self._serving is request:
+                self.answer(500, b"", b"a fault in the proxy\n")
 
     def _dispatch(self, request: Request) -> None:
         if request.fault is not None:
@@ -374,6 +470,7 @@
             if self._front.crowded():  # Guards the same where none is idle.
                 self._keep_alive = False
                 raise Rejected(503, "too many connections")
+            self._handed_on = True
             self._front.handle(request, facts, self)
         else:
             raise Rejected(404, "no such path")
@@ -381,15 +478,19 @@
     def answer(self, status: int, head: bytes, body: bytes) -> None:
         """Write the one final answer of the request that is being served, whole."""
         request = self._serving
-        if request is not None and not request.body.whole and request.fault is None:
+        if request is None:
+            self._account.violated("answer_not_owed", f"status {status}")
+            return
+        if not request.body.whole and request.fault is None:
             self._take_no_more()  # what still comes of it serves nobody
             self._transport.resume_reading()
         keep = self._keeps()
         self._transport.write(b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n%b\r\n%b" % (
             status, HTTPStatus(status).phrase.encode(), head, len(body),
             b"" if keep else b"Connection: close\r\n",
-            b"" if request is not None and request.method == b"HEAD" else body,
+            b"" if request.method == b"HEAD" else body,
         ))
+        self._note_unsent()
         self._end(status, keep)
 
     def _keeps(self) -> bool:
@@ -417,6 +518,7 @@
     def pass_on(self, data: bytes) -> None:
         """Write the next bytes of that answer."""
         self._transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._in_chunks else data)
+        self._note_unsent()
 
     def finish(self) -> None:
         """That answer is complete."""
@@ -438,25 +540,20 @@
             self._front.telemetry.answered(self._kind, status)
         self._count_ended()
         request, self._serving = self._serving, None
+        if request is not None and not self._handed_on:
+            request.release()
+        self._handed_on = False
         self.gone = self._source = None
         if not keep:
-            self.close(self._closing_reason(status, request))
+            self.close(closing_reason(self._front.closing, status, request))
             return
         self._front.waiting[self] = None
         self._transport.resume_reading()
         if self._queue:
-            self._next()
+            self.take_up()
         elif self._continue_due:
             self._say_continue()
 
-    def _closing_reason(self, status: int, request: Request | None) -> str:
-        """Why its connection ends with an answer of this status; empty where its caller wants that."""
-        if self._front.closing:
-            return "answered, and the process lets its callers go"
-        if request is not None and not request.keep_alive and request.fault is None:
-            return ""
-        return f"answered {status}, and what follows is not to be read"
-
     def _count_taken(self) -> None:
         self._taken = True
         self._front.telemetry.concurrent += 1
--- a/lugspur/config.py
+++ b/lugspur/config.py
@@ -65,6 +65,7 @@
     muted: bool = False  # no log
     affinity: str | None = None  # the header that holds a request's key; None: no affinity
     state_dir: Path | None = None  # None: nothing is kept but the orders, in $TMPDIR
+    memory: int | None = None  # bytes that the process may have; None: no limit is stated
 
 
 def read_address(text: str) -> Address:
@@ -221,6 +222,15 @@
     return stated if soft == resource.RLIM_INFINITY else min(stated, soft)
 
 
+def _memory(stated: Any) -> int | None:
+    """The limit on memory in bytes, of one in MB; None where none is stated."""
+    if stated is None:
+        return None
+    if not 0.0 < float(stated) < math.inf:
+        raise ConfigError(f"limits: {stated} MB of memory is no limit to work with")
+    return int(float(stated) * 1e6)
+
+
 def _seconds(bounds: Mapping[str, Any], key: str, default: float) -> float:
     """A time of the settings' bounds, in seconds; nothing works without one above 0."""
     value = float(bounds.get(key, default))
@@ -275,6 +285,7 @@
         muted=setting(environ, raw, "log") == "off",
         affinity=setting(environ, raw, "affinity_header"),
         state_dir=Path(state_dir) if state_dir else None,
+        memory=_memory(raw["limits"].get("memory_mb")),
     )
 
 
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -23,6 +23,7 @@
 from lugspur.endpoint_table import EndpointTable
 from lugspur.endpoints import Endpoint, ListMessage, Reader, server_id, server_name
 from lugspur.events import log
+from lugspur.memory import READ_BUFFER, Account, Purpose
 from lugspur.message_framing import MessageFramer
 from lugspur.trace import trace
 from lugspur.unread import READS_MOST, Inbox
@@ -42,9 +43,12 @@
 STALLED_AFTER = 1.0  # seconds without a byte, after which an answer that has begun does not go on coming
 SILENCE = "silent"  # why a watch is given up that says nothing more
 SERVICE_UNAVAILABLE = 503  # the status of a call that discovery turns away
+REPAIR_AFTER = 1.0  # seconds for which a timer may be late before it is taken for lost
+READ_LEAST = 16 << 10  # bytes of a list that are read at a time, however busy the process is
 QUEUED_LEAST = 0.15  # seconds from connecting to a refusal that tell of a queue, not of an outage
 
 
+SPENT = httptools.HttpResponseParser(object())  # in place of one whose watch reads no more
 _NUMBERS = itertools.count(1)  # of watches, in the trace
 
 
@@ -81,17 +85,20 @@
         self, address: Address, reader: Reader, index: int, told: Callable[[ListKind, list[Endpoint]], None],
         *, known: Iterable[Endpoint] = (), clock: Callable[[], float] = time.monotonic,
         failed: Callable[[], None] = lambda: None, backoff: ReconnectBackoff | None = None,
+        account: Account | None = None,
     ) -> None:
         """`known` is the list that `index` belongs to; `failed` is told of each call that brought nothing.
 
         Without a `backoff` it is that of a process alone.
         """
+        self.account = account or Account()
+        self._names = self.account.holding(Purpose.NAMES)
         self._backoff = backoff or ReconnectBackoff(Settings())
         self._address = address
         self._reader = reader
         self.index = index  # of the list as it is told
         self._told = told
-        self._table = EndpointTable(known, index)
+        self._table = EndpointTable(known, index, self.account.overload.servers_most)
         self._clock = clock
         self._failed = failed
         self._watch: _Watch | None = None
@@ -135,6 +142,13 @@
             self._due.cancel()
             self._due = None
 
+    def repair(self) -> None:
+        """Call again where the timer of the present state was lost, in a failed allocation."""
+        now = asyncio.get_running_loop().time()
+        if self._due is not None and self._due.when() < now - REPAIR_AFTER:
+            self._drop("its timer was lost")
+            self._call()
+
     def may_answer(self) -> bool:
         """Whether discovery owes a call its answer, or was up when the last one failed."""
         return self._up_last or any(watch.unanswered() for watch in self._open_watches())
@@ -155,6 +169,7 @@
         return [
             f"discovery.index={self.index}", f"discovery.age_ms={age}",
             f"discovery.failures={self.failures}", f"discovery.unreadable={self.unreadable}",
+            f"discovery.names={len(self._table)}", f"discovery.names_refused={self._table.refused}",
         ]
 
     def line(self, text: bytes) -> None:
@@ -172,6 +187,7 @@
                          entries=len(message.entries), unreadable=message.unreadable)
             kind, index = message.kind, message.index
             endpoints = self._table.apply(self._clock(), message)
+            self.account.names(self._names, len(self._table))
             if index is None:
                 if endpoints:
                     self._told(ListKind.PATCH, endpoints)
@@ -319,7 +335,7 @@
                 watch.close()
 
 
-class _Watch(asyncio.Protocol):
+class _Watch(asyncio.BufferedProtocol):
     """The connection of one watch: reports what it brings, and once that it is over."""
 
     def __init__(self, discovery: Discovery, address: Address, since: int) -> None:
@@ -336,6 +352,8 @@
         )
         self._parser = httptools.HttpResponseParser(self)
         self._framer = MessageFramer()
+        self._account = discovery.account
+        self._held = self._account.holding(Purpose.LISTS)
         self._transport: asyncio.Transport | None = None
         self._dial: asyncio.Task[object] | None = None
         self._closed = False
@@ -368,6 +386,10 @@
     def close(self) -> None:
         """End it; nothing more is told."""
         self._closed = True
+        self._account.holders.pop(self, None)
+        self._framer.clear()
+        self._held.set(0)
+        self._parser = SPENT  # the one before refers to this watch
         if self._dial is not None:
             self._dial.cancel()
         if self._transport is not None:
@@ -380,15 +402,43 @@
         if self._closed:
             transport.abort()
         else:
+            self._account.holders[self] = None
             self._discovery.inbox.add(transport)
             transport.write(self._request)
             self._discovery._connected(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._account.holders.pop(self, None)
         self._discovery.inbox.discard(self._transport)
         self._discovery._over(self, "ended" if exc is None else f"broken: {exc!r}"[:200])
 
-    def data_received(self, data: bytes) -> None:
+    def held(self) -> int:
+        """Bytes that are held of a message."""
+        return self._held.size
+
+    def owes(self) -> bool:
+        """Whether it is followed: without it no change is heard of."""
+        return self.following
+
+    def shed(self) -> None:
+        """Give up the message that is coming in: another call asks for it again."""
+        if self._held.size:
+            self._discovery._over(self, "memory is short")
+
+    def reset(self) -> None:
+        """The same."""
+        self.shed()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next bytes go: what is read is taken up before anything else is read."""
+        return self._account.read_buffer(READ_LEAST)
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """So many bytes have come."""
+        self.data_received(READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """The next bytes."""
         if self._closed:
             return
         self.read_at = self._discovery._clock()
@@ -399,7 +449,8 @@
             self._parser.feed_data(data)
         except Exception as fault:  # Guards against a malformed list: the last one stays.
             self._discovery._over(self, f"malformed: {fault.__context__ or fault!r}"[:200])
-            log.warning("discovery.fault", error=repr(fault.__context__ or fault))
+            log.warning("discovery.fault", error=repr(fault.__context__ or fault)[:200])
+        self._held.set(self._framer.held())
 
     # ---- the parser's calls ------------------------------------------------------------------
 
--- a/lugspur/endpoint_table.py
+++ b/lugspur/endpoint_table.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
 from jaspershelf.model import ListKind, State
+from jaspershelf.overload import SERVERS_MOST
 from lugspur.endpoints import Endpoint, ListMessage, PartialEntry
 
 RANK = {State.UP: 0, State.DRAINING: 1, State.GONE: 2}  # the higher, the less a server may be used
+MADE_ROOM = 8  # the part of all servers that is forgotten in one go where there is no room for a new one
 GONE_MOST = 2_000  # removed servers that are remembered: names may be new at each replacement
 STATE_LOST_AFTER = 30.0  # seconds with older messages alone, after which discovery has lost its state
 
@@ -29,13 +31,25 @@
 
 
 class EndpointTable:
-    """All servers that were ever told, the removed ones bounded in number."""
+    """The servers that were told, bounded in number, and the removed ones apart."""
 
-    def __init__(self, endpoints: Iterable[Endpoint] = (), index: int = 0) -> None:
+    def __init__(
+        self, endpoints: Iterable[Endpoint] = (), index: int = 0,
+        most: Callable[[], int] = lambda: SERVERS_MOST,
+    ) -> None:
+        """`most` tells how many servers may be kept, the removed ones among them."""
         self._known = {endpoint.row.server: _Known(endpoint, index) for endpoint in endpoints}
+        self._most = most
+        self._forgot_withdrawn = False  # an older message may name a server that is not known to be withdrawn
+        self._full = False  # a look in this message has found none that could make room
+        self._evicted: list[Endpoint] = []  # draining servers that have just made room for others
+        self.refused = 0  # new servers for which there was no room
         self._highest = index
         self._behind_since: float | None = None
 
+    def __len__(self) -> int:
+        return len(self._known)
+
     def apply(self, now: float, message: ListMessage) -> list[Endpoint]:
         """Take a message up; the endpoints that it leaves changed, or all that it lists where it is whole.
 
@@ -44,18 +58,21 @@
         if message.index is None:
             return self._withdraw(message)
         self._follow(now, message.index)
+        self._full = False
         told: dict[int, Endpoint] = {}
         for entry in message.entries:
             endpoint = self._resolve(entry, message.index)
             if endpoint is not None:
                 server = endpoint.row.server
                 told[server] = _safer(told[server], endpoint) if server in told else endpoint
-        for endpoint in told.values():
-            self._set(endpoint, message.index)
         if message.kind is ListKind.WHOLE:
             self._remove_others(told, message.index)
+        for endpoint in list(told.values()):
+            if not self._set(endpoint, message.index):
+                del told[endpoint.row.server]
         self._forget_removed()
-        return list(told.values())
+        evicted, self._evicted = self._evicted, []
+        return [*told.values(), *evicted]
 
     def has_lost_state(self, now: float) -> bool:
         """Whether discovery has been behind what it told before for too long to be catching up."""
@@ -79,18 +96,24 @@
             known = self._known.get(entry.server)
             return None if known is None else _withdrawn(known.endpoint, entry.state)
         known = self._known.get(entry.row.server)
-        if known is None or index >= known.version or RANK[entry.row.state] >= known.rank:
+        if known is None:
+            return entry if index >= self._highest or not self._forgot_withdrawn else None
+        if index >= known.version or RANK[entry.row.state] >= known.rank:
             return entry
         return entry if entry.row.started > known.endpoint.row.started else known.endpoint
 
-    def _set(self, endpoint: Endpoint, index: int) -> None:
+    def _set(self, endpoint: Endpoint, index: int) -> bool:
+        """Keep what is told of a server; False where it is new and there is no room for it."""
         known = self._known.get(endpoint.row.server)
         if known is None:
+            if len(self._known) >= self._most() and not self._make_room_for(endpoint):
+                return False
             self._known[endpoint.row.server] = _Known(endpoint, index)
         else:
             # What is not in use keeps the newest index that said so.
             known.version = index if known.endpoint.row.state is State.UP else max(known.version, index)
             known.endpoint = endpoint
+        return True
 
     def _withdraw(self, message: ListMessage) -> list[Endpoint]:
         found = []
@@ -107,12 +130,29 @@
             if server not in listed and known.endpoint.row.state is not State.GONE:
                 self._set(_withdrawn(known.endpoint, State.GONE), index)
 
+    def _make_room_for(self, endpoint: Endpoint) -> bool:
+        """Forget servers that are not in use, the removed ones and then the oldest first."""
+        if endpoint.row.state is not State.UP:  # nobody uses it, so nothing has to be known of it
+            self._forgot_withdrawn = True
+            return False
+        withdrawn = [] if self._full else [n for n, known in self._known.items() if known.rank]
+        self._full = not withdrawn
+        withdrawn.sort(key=lambda n: self._known[n].endpoint.row.state is not State.GONE)
+        for server in withdrawn[:max(1, self._most() // MADE_ROOM)]:
+            known = self._known.pop(server)
+            if known.endpoint.row.state is not State.GONE:
+                self._evicted.append(_withdrawn(known.endpoint, State.GONE))
+        self._forgot_withdrawn |= bool(withdrawn)
+        self.refused += not withdrawn
+        return bool(withdrawn)
+
     def _forget_removed(self) -> None:
         if len(self._known) <= GONE_MOST:
             return
         removed = [n for n, known in self._known.items() if known.endpoint.row.state is State.GONE]
         for server in removed[:max(0, len(removed) - GONE_MOST)]:
             del self._known[server]
+            self._forgot_withdrawn = True
 
 
 def _withdrawn(endpoint: Endpoint, state: State | None) -> Endpoint:
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -45,8 +45,8 @@
     """One attempt on the wire: from its start to its one outcome."""
 
     __slots__ = (
-        "backend", "body", "connection", "dial", "head", "name", "number", "once", "open", "pass_on",
-        "paused", "started", "until", "_client", "_loop", "_moved", "_timer",
+        "backend", "body", "connection", "dial", "head", "name", "number", "once", "open", "outcome",
+        "pass_on", "paused", "started", "until", "_client", "_loop", "_moved", "_timer",
     )
 
     def __init__(
@@ -62,6 +62,7 @@
         self.body = body
         self.once = once  # it must not run twice, or can't be sent again, so a reset is its end
         self.open = True
+        self.outcome: Outcome | None = None  # None while it is open
         self.connection: Connection | None = None
         self.dial: asyncio.Task[None] | None = None
         self.pass_on: Callable[[bytes], None] | None = None  # where an answer goes that is too large to hold
@@ -76,6 +77,7 @@
         if not self.open:
             return
         self.open = False
+        self.outcome = outcome
         self._unlimit()
         if self.dial is not None:
             self.dial.cancel()
--- a/lugspur/front.py
+++ b/lugspur/front.py
@@ -11,6 +11,7 @@
 from lugspur.caller import Caller
 from lugspur.config import Config
 from lugspur.listening import inherited_socket, listening_socket
+from lugspur.memory import Account
 from lugspur.request import Facts, Request
 from lugspur.telemetry import Telemetry
 
@@ -26,9 +27,10 @@
 
     def __init__(
         self, config: Config, most: int, handle: Callable[[Request, Facts, Caller], None],
-        telemetry: Telemetry,
+        telemetry: Telemetry, account: Account | None = None,
     ) -> None:
         self.config = config
+        self.account = account or Account()
         self.telemetry = telemetry
         self.handle = handle
         self.most = most
@@ -109,3 +111,5 @@
         for caller in tuple(self.waiting):
             if not caller.begun:  # Guards requests on their way in: their answers close the connection.
                 caller.close("idle, and the process lets its callers go")
+        for caller in tuple(self.callers):
+            caller.take_up()  # what waits until its caller reads on is to be answered by the end
--- /dev/null
+++ b/lugspur/memory.py
@@ -0,0 +1,203 @@
+"""The account of all that peers make this process hold: heads, queues, bodies, answers, lists, names.
+
+Whoever keeps bytes of a peer has a `Holding` and tells it their number. The sum is bounded from the
+process's memory limit by `jaspershelf.overload`, which decides; here its decisions are carried out:
+connections are read in smaller pieces, new requests are refused, and where that is not enough, those that
+hold most give it up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from enum import IntEnum
+from typing import Protocol
+
+from jaspershelf.overload import READ_LEAST, READ_MOST, SERVER_COST, MemoryOverload, largest_first
+from lugspur.events import log
+from lugspur.trace import trace
+
+READ_BUFFER = memoryview(bytearray(READ_MOST))  # of all connections: each takes up what it reads at once
+TURN_LONG, TURN_TOO_LONG = 0.02, 0.1  # seconds of one turn of the loop after which a connection is read...
+PIECE_SMALL, PIECE_LEAST = READ_LEAST, 512  # ...in pieces of so many bytes, so that others have their turn
+CONNECTION_COST = 6 << 10  # bytes that a connection costs without anything held on it
+OUT_OF_MEMORY = "out of memory: try again later"
+REQUEST_COST = 3 << 10  # bytes that a request costs beside its text
+
+
+class Purpose(IntEnum):
+    """What bytes are held for."""
+
+    CONNECTIONS = 0
+    HEADS = 1  # of requests that are coming in
+    REQUESTS = 2  # that are queued or served
+    BODIES = 3  # of requests
+    ANSWERS = 4  # from servers, and on their way to callers
+    LISTS = 5  # messages of discovery that are coming in
+    OPERATORS = 6  # calls to the operators' address
+    NAMES = 7  # of servers, kept for good
+
+
+NAMES = int(Purpose.NAMES)
+
+
+class Holder(Protocol):
+    """Who holds bytes of a peer, and can give them up."""
+
+    def held(self) -> int:
+        """How many, now, the connection's own among them."""
+
+    def owes(self) -> bool:
+        """Whether something was taken on that is owed to somebody."""
+
+    def shed(self) -> None:
+        """Give up what was not taken on yet; whoever sent it is told."""
+
+    def reset(self) -> None:
+        """Give up all at once, and the connection with it."""
+
+
+class Holding:
+    """The bytes that one holder keeps for one purpose."""
+
+    __slots__ = ("_account", "_purpose", "size")
+
+    def __init__(self, account: Account, purpose: Purpose) -> None:
+        self._account = account
+        self._purpose = int(purpose)
+        self.size = 0
+
+    def set(self, size: int) -> None:
+        """So many it is now."""
+        change = size - self.size
+        if change:
+            self.size = size
+            self._account.change(self._purpose, change)
+
+
+class Account:
+    """The sum of all holdings, and who holds them."""
+
+    def __init__(
+        self, overload: MemoryOverload | None = None,
+        violated: Callable[[str, str], None] = lambda name, detail: None,
+    ) -> None:
+        """`violated` is told of each invariant that a guard finds broken, by name, and how."""
+        self.violated = violated
+        self.overload = overload or MemoryOverload()
+        self.holders: dict[Holder, None] = {}
+        self.by_purpose = [0] * len(Purpose)
+        self.held = 0  # without the names, which are kept for good
+        self.peak = 0
+        self.refused = 0  # requests
+        self.shed = 0  # times that a holder gave up what was not taken on...
+        self.reset = 0  # ...and all
+        self.failed_allocations = 0
+        self._relief_due = False
+        self._turn_age: Callable[[], float] = lambda: 0.0
+
+    def pace_by(self, turn_age: Callable[[], float]) -> None:
+        """`turn_age` tells for how many seconds the loop's present turn has lasted."""
+        self._turn_age = turn_age
+
+    def holding(self, purpose: Purpose) -> Holding:
+        """A new holding of nothing."""
+        return Holding(self, purpose)
+
+    def change(self, purpose: int, change: int) -> None:
+        """A holding has changed by so many bytes."""
+        self.by_purpose[purpose] += change
+        if purpose == NAMES:
+            self.overload.keep(self.by_purpose[purpose])
+            return
+        self.held = held = self.held + change
+        if held > self.peak:
+            self.peak = held
+        noticed = held > self.overload.quiet or self.overload.refusing
+        if noticed and self.overload.update(held) and not self._relief_due:
+            self._ask_for_relief()
+
+    def names(self, holding: Holding, number: int) -> None:
+        """So many names of servers are kept."""
+        holding.set(number * SERVER_COST)
+
+    def read_buffer(self, least: int = PIECE_LEAST) -> memoryview:
+        """Where a connection's next bytes go: less room where memory or the turn's time runs out.
+
+        There is room for `least` bytes at any time.
+        """
+        age = self._turn_age()
+        if age <= TURN_LONG and self.held <= self.overload.quiet:
+            return READ_BUFFER
+        size = self.overload.read_size(self.held)
+        if age > TURN_LONG:
+            size = min(size, PIECE_LEAST if age > TURN_TOO_LONG else PIECE_SMALL)
+        size = max(least, size)
+        return READ_BUFFER if size >= READ_MOST else READ_BUFFER[:size]
+
+    def refuse(self) -> str:
+        """A new request is refused, with this reason."""
+        if not self.refused:
+            log.warning("memory.refusing", held=self.held, budget=int(self.overload.budget))
+        self.refused += 1
+        return OUT_OF_MEMORY
+
+    def allocation_failed(self) -> None:
+        """The system has given no more memory."""
+        self.failed_allocations += 1
+        self.overload.allocation_failed(self.held)
+        self.relieve()
+
+    def _ask_for_relief(self) -> None:
+        try:
+            asyncio.get_running_loop().call_soon(self.relieve)
+        except RuntimeError:  # no loop runs: nothing more comes in
+            return
+        self._relief_due = True
+
+    def relieve(self) -> None:
+        """Have those that hold most give up what was not taken on, and all where that is not enough."""
+        self._relief_due = False
+        holders = list(self.holders)
+        if self.overload.update(self.held):
+            order = largest_first([holder.held() for holder in holders])
+            self.shed += self._give_up(
+                [holders[place].shed for place in order], self.overload.relieved())
+        if self.overload.update(self.held):
+            owing = [holder.owes() for holder in holders]
+            order = largest_first([holder.held() for holder in holders], owing)
+            self.reset += self._give_up(
+                [holders[place].reset for place in order], self.overload.relieved())
+
+    def press(self) -> None:
+        """Have those that hold most give up what was not taken on: the process is near its limit."""
+        holders = list(self.holders)
+        order = largest_first([holder.held() for holder in holders])
+        self.shed += self._give_up([holders[place].shed for place in order], self.held / 2.0)
+
+    def _give_up(self, ways: Sequence[Callable[[], None]], down_to: float) -> int:
+        """Go on until no more than this is held; how many of them gave something up."""
+        trace.record("memory.relief", held=self.held, budget=self.overload.budget, down_to=int(down_to))
+        gave = 0
+        for give_up in ways:
+            before = self.held
+            if before <= down_to:
+                break
+            try:
+                give_up()
+            except Exception:  # Guards the others: each has to give up its own.
+                log.error("memory.fault", exc_info=True)
+            gave += self.held < before
+        return gave
+
+    def figures(self) -> list[str]:
+        """Lines of the telemetry."""
+        budget = self.overload.budget
+        lines = [f"memory.{purpose.name.lower()}={self.by_purpose[purpose]}" for purpose in Purpose]
+        return [
+            *lines, f"memory.held={self.held}", f"memory.held_most={self.peak}",
+            f"memory.budget={-1 if budget == float('inf') else int(budget)}",
+            f"memory.refusing={int(self.overload.refusing)}", f"memory.refused={self.refused}",
+            f"memory.shed={self.shed}", f"memory.reset={self.reset}",
+            f"memory.failed_allocations={self.failed_allocations}",
+        ]
--- a/lugspur/orders.py
+++ b/lugspur/orders.py
@@ -26,6 +26,7 @@
 from lugspur.events import log
 
 LOCK_WITHIN = 1.0  # seconds that a change waits for the lock: who holds it does so for a few system calls
+TEXT_MOST = 4 << 20  # bytes of a file: thousands of names
 LOCK_LOOK = 0.01  # seconds between tries
 
 
@@ -157,7 +158,11 @@
         log.warning("orders.fault", file=str(self._path), error=repr(fault))
 
     def _read(self, path: Path) -> Orders:
-        return parse_orders(path.read_bytes())
+        with path.open("rb") as file:
+            text = file.read(TEXT_MOST + 1)
+        if len(text) > TEXT_MOST:
+            raise ValueError("the text is too long")
+        return parse_orders(text)
 
     def _put(self, path: Path, orders: Orders) -> None:
         fresh = path.with_suffix(".new")
--- a/lugspur/process.py
+++ b/lugspur/process.py
@@ -104,6 +104,7 @@
         await proxy.admin.finish()
     if keeper is not None:
         await keeper.close()
+    proxy.close()
     trace.record("process.ended")
     trace.flush()
     # Guards the exit status: the loop takes its handlers away as it closes, and a further signal would kill.
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -24,6 +24,7 @@
     Subscribe,
     Timer,
 )
+from jaspershelf.overload import MemoryOverload
 from jaspershelf.reconnect import ReconnectBackoff
 from lugspur import discovery
 from lugspur.admin import Admin, Route
@@ -31,17 +32,24 @@
 from lugspur.call import Call
 from lugspur.caller import Caller
 from lugspur.config import Address, Config
+from lugspur.endpoint_table import GONE_MOST
 from lugspur.events import log
 from lugspur.exchange import Exchange, Response
 from lugspur.front import Front
 from lugspur.interfaces import Figures, Membership, Memory, Shared
+from lugspur.invariants import Invariants
+from lugspur.memory import Account
+from lugspur.monitor import Monitor
+from lugspur.order_follower import OrderFollower
 from lugspur.orders import OrderBook, Orders
+from lugspur.proxy_checks import GUARDED, describe, may_repeat, overdue_calls, proxy_checks
 from lugspur.request import Facts, Rejected, Request
 from lugspur.serial_executor import SerialExecutor
 from lugspur.start_times import StartTimes
 from lugspur.telemetry import Telemetry
 from lugspur.trace import trace
 from lugspur.upstream import Upstream
+from lugspur.zone_figures import zone_lines, zone_rows
 
 if TYPE_CHECKING:
     from lugspur.affinity import Affinity
@@ -50,7 +58,6 @@
 CALLERS_PART = 0.5  # of the other descriptors
 ANSWER_EARLY = 0.005  # seconds before the client's time is up: the answer still has to reach it
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
-NOTICE_EVERY = 0.2  # seconds between looks for the other process's orders: a drain may take 1.5
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves...
 KNOWN_MOST = 4.8  # ...or so many where discovery has accepted the call and may still answer it
 KNOWN_MORE = 3.0  # ...and so many more while its answer goes on coming: a long list, a crowded discovery
@@ -82,15 +89,18 @@
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
-        self._upstream = Upstream(sockets - callers, config.conn_idle, config.dial_timeout)
+        self._overload = MemoryOverload(config.memory)
+        self._invariants = Invariants(GUARDED)
+        self._account = Account(self._overload, self._invariants.report)
+        self._upstream = Upstream(sockets - callers, config.conn_idle, config.dial_timeout, self._account)
         if config.listen_fd is not None:
-            # Guards the limit on descriptors: this may be the second process, and both count together.
-            self._upstream.halve()
-            self._loop.call_later(OVERLAP, self._upstream.restore)
+            # Guards the limits: this may be the second process, and both count together.
+            self.make_room()
+            self._loop.call_later(OVERLAP, self._have_all_room)
         self._list = BackendList(self._upstream, self._balancer)
         self._backends = self._list.backends
         self._telemetry = Telemetry([row.name for row in config.settings.classes])
-        self.front = Front(config, callers, self._request, self._telemetry)
+        self.front = Front(config, callers, self._request, self._telemetry, self._account)
         self.admin = Admin({
             b"/api/ready": Route(b"GET", self._answer_ready),
             b"/api/telemetry": Route(b"GET", self._answer_telemetry),
@@ -98,7 +108,7 @@
             b"/api/include": Route(b"POST", self._answer_include),
             b"/api/evacuate": Route(b"POST", self._answer_evacuate),
             b"/api/rejoin": Route(b"POST", self._answer_rejoin),
-        })
+        }, self._account)
         self._membership: Membership | None = None
         self._shared: Shared | None = None
         self._subset: Figures | None = None
@@ -114,15 +124,13 @@
         known = reader.endpoints(config.known)
         self._discovery = discovery.Discovery(
             config.discovery, reader, config.known["index"], self._told, known=known, clock=self._loop.time,
-            failed=self._call_has_failed, backoff=ReconnectBackoff(config.settings),
+            failed=self._call_has_failed, backoff=ReconnectBackoff(config.settings), account=self._account,
         )
         self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
-        self._orders.refresh()
-        self._obey(self._orders.current)
-        self._obeyed = self._orders.current
-        self._noticing: asyncio.Task[None] | None = None
-        self._go_on_noticing()
+        self._follower = OrderFollower(
+            self._orders, self._file_executor, self._obey, shared=config.listen_fd is not None
+        )
         if self._memory is not None:
             restored = self._memory.load(len(config.settings.classes))
             self._perform(self._decide(self._balancer.restore, *restored))
@@ -132,6 +140,20 @@
             self._discovery.open()
         if config.known["endpoints"]:
             self._loop.call_later(KNOWN_AFTER, self._serve_by_known, self._loop.time() + KNOWN_MOST)
+        self._invariants.add(proxy_checks(self._calls, self._upstream, self._telemetry))
+        self._monitor = Monitor(self._account, self._invariants, config.memory, self._repair)
+
+    def _repair(self) -> None:
+        """Make good what a failed allocation may have undone: timers and tasks that were lost."""
+        self._discovery.repair()
+        self._upstream.repair()
+        self._follower.repair()
+        for call in overdue_calls(self._calls, self._loop.time()):
+            self._overdue(call)
+
+    def close(self) -> None:
+        """Look after the process no more: it ends."""
+        self._monitor.close()
 
     def join(self, membership: Membership) -> None:
         """Show and obey for this process's membership among the proxies."""
@@ -162,8 +184,14 @@
         return orjson.dumps(self._shared.report(), option=orjson.OPT_APPEND_NEWLINE)
 
     def make_room(self) -> None:
-        """Leave another process, which takes the callers from here on, its part of the connections."""
+        """Leave another process, which takes the callers from here on, its part of the limits."""
         self._upstream.halve()
+        self._overload.share(2)
+
+    def _have_all_room(self) -> None:
+        """The limits are this process's alone."""
+        self._upstream.restore()
+        self._overload.share(1)
 
     def reload(self, address: Address) -> None:
         """Carry on with discovery at this address; all else of the configuration stays as it was."""
@@ -194,28 +222,19 @@
     async def _answer_telemetry(self, _: bytes) -> bytes:
         text = self._telemetry.text(self._upstream.dispatches, *self._balancer.targets(self._now()))
         parts = (
-            self._discovery, self._orders, self._membership, self._memory, self._shared, self._subset
+            self._discovery, self._orders, self._membership, self._memory, self._shared, self._subset,
+            self._monitor,
         )
         for part in parts:
             if part is not None:
                 text += "".join(f"{line}\n" for line in part.figures()).encode()
         if self._config.settings.locality is not None:
-            text += "".join(
-                f"zone.{row['zone']}.{key}={row[key]}\n" for row in self._zone_rows()
-                for key in ("sent", "share", "left_for", "ramp")
-            ).encode()
+            text += "".join(f"{line}\n" for line in zone_lines(self._zone_rows())).encode()
         return text
 
     def _zone_rows(self) -> list[dict[str, object]]:
-        now, zones, rules = self._now(), self._balancer.zones, self._config.settings.locality
-        sent = sum(held.sent for held in zones.values())
-        return [
-            {"zone": self._zones.get(place, "?"), "own": place == self._config.settings.zone,
-             "sent": held.sent, "sent_share": round(held.sent / sent, 4) if sent else 0.0,
-             "share": round(held.share, 4), "left_for": round(max(0.0, held.left_until - now), 3),
-             "ramp": round(held.ramp(now, rules.slow_start), 3), "panic": self._balancer.panic}
-            for place, held in sorted(zones.items())
-        ] if rules is not None else []
+        settings = self._config.settings
+        return zone_rows(self._balancer, settings.locality, self._zones, settings.zone, self._now())
 
     async def _answer_zones(self, _: bytes) -> bytes:
         return orjson.dumps(self._zone_rows(), option=orjson.OPT_APPEND_NEWLINE)
@@ -226,12 +245,12 @@
 
     async def _answer_exclude(self, body: bytes) -> bytes:
         name = self._named(body)
-        await self._order(lambda orders: replace(orders, excluded=orders.excluded | {name}))
+        await self._follower.order(lambda orders: replace(orders, excluded=orders.excluded | {name}))
         return b"excluded\n"
 
     async def _answer_include(self, body: bytes) -> bytes:
         name = self._named(body)
-        await self._order(lambda orders: replace(orders, excluded=orders.excluded - {name}))
+        await self._follower.order(lambda orders: replace(orders, excluded=orders.excluded - {name}))
         return b"included\n"
 
     def _named(self, body: bytes) -> str:
@@ -247,13 +266,13 @@
         return name
 
     async def _answer_evacuate(self, _: bytes) -> bytes:
-        await self._order(lambda orders: replace(orders, drained=True))
+        await self._follower.order(lambda orders: replace(orders, drained=True))
         return b"draining\n"
 
     async def _answer_rejoin(self, _: bytes) -> bytes:
         if self.front.ending and self._config.listen_fd is None:
             raise Rejected(409, "this process is ending")
-        await self._order(lambda orders: replace(orders, drained=False))
+        await self._follower.order(lambda orders: replace(orders, drained=False))
         return b"back\n"
 
     # ---- the list ----------------------------------------------------------------------------
@@ -308,6 +327,9 @@
         self._list.follow(kind, told)
         self._perform(actions)
         self._rank()
+        for server in self._balancer.forget(GONE_MOST):
+            self._list.forget(server)
+            self._start_times.forget(server)
 
     def _rank(self) -> None:
         """Affinity ranks the servers that are in use."""
@@ -333,38 +355,19 @@
         else:
             self.front.rejoin()
 
-    def _go_on_noticing(self) -> None:
-        """Look for orders as long as there may be some: of a second process, or not yet read."""
-        if self._noticing is None or self._noticing.done():
-            self._noticing = self._loop.create_task(self._notice())
-
-    async def _notice(self) -> None:
-        while self._config.listen_fd is not None or self._orders.pending:
-            await asyncio.sleep(NOTICE_EVERY)
-            try:
-                await self._loop.run_in_executor(self._file_executor, self._orders.refresh)
-                if self._orders.current != self._obeyed:
-                    self._obey(self._orders.current)
-                    self._obeyed = self._orders.current
-            except Exception:  # Guards later orders: a look that fails is made again.
-                log.error("orders.look", exc_info=True)
-
-    async def _order(self, edit: Callable[[Orders], Orders]) -> None:
-        """Keep an order, so that a second process obeys it too, and obey it."""
-        try:
-            orders = await self._loop.run_in_executor(self._file_executor, self._orders.change, edit)
-        except OSError as fault:
-            self._go_on_noticing()
-            raise Rejected(503, f"the order can't be kept: {fault.strerror}") from fault
-        self._obey(orders)
-        self._obeyed = orders
-
     # ---- requests ------------------------------------------------------------------------------
 
     def _request(self, request: Request, facts: Facts, caller: Caller) -> None:
         self._count += 1
         call = Call(self, str(self._count), request, facts, caller)
         self._calls[call.rid] = call
+        try:
+            self._take(call, request, caller)
+        except Exception:  # Guards the request: its caller is owed an answer, whatever failed.
+            log.error("request.fault", exc_info=True)
+            self._abandon(call)
+
+    def _take(self, call: Call, request: Request, caller: Caller) -> None:
         caller.gone = lambda: self._gone(call)
         whole = request.body.whole
         if whole:
@@ -450,8 +453,9 @@
         self._forget(call)
 
     def _forget(self, call: Call) -> None:
-        if call.caller is None and not any(exchange.open for exchange in call.exchanges):
-            self._calls.pop(call.rid, None)
+        done = call.caller is None and not any(exchange.open for exchange in call.exchanges)
+        if done and self._calls.pop(call.rid, None) is not None:
+            call.request.release()
 
     # ---- the module's actions ----------------------------------------------------------------
 
@@ -490,11 +494,15 @@
             self._answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def _send(self, call: Call, action: Send) -> None:
+        unsafe = self._once[call.facts.kind]
+        if call.exchanges and not may_repeat(call, unsafe):
+            self._invariants.report("send_repeated", describe(call.exchanges[-1]))
+            return
         now = self._loop.time()
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
         exchange = Exchange(
             call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
-            call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
+            call.request.body, unsafe or not call.request.body.whole,
         )
         exchange.name = call.name
         self._trace_attempt(call, exchange, action)
--- a/lugspur/reload.py
+++ b/lugspur/reload.py
@@ -26,9 +26,9 @@
 
     def __init__(
         self, path: Path | None, read: Callable[[], Address], move: Callable[[Address], None],
-        report: Callable[[ConfigError], None],
+        report: Callable[[Exception], None],
     ) -> None:
-        """`read` raises ConfigError; `report` is told of the first one of each request."""
+        """`read` raises ConfigError or MemoryError; `report` is told of the first one of each request."""
         self._path = path
         self._read = read
         self._move = move
@@ -51,12 +51,12 @@
             self._attempts = 0
             self._attempt()
 
-    def _attempt(self, report: Callable[[ConfigError], None] = lambda _: None) -> None:
+    def _attempt(self, report: Callable[[Exception], None] = lambda _: None) -> None:
         self._retry = None
         signature = self._signature()  # before it is read: what is written meanwhile is a change
         try:
             address = self._read()
-        except ConfigError as fault:
+        except (ConfigError, MemoryError) as fault:
             trace.record("config.unreadable", reason=str(fault)[:200], attempts=self._attempts)
             report(fault)
             wait = min(RETRY_MOST, RETRY_FIRST * 2.0 ** min(self._attempts, DOUBLINGS_MOST))
--- a/lugspur/request.py
+++ b/lugspur/request.py
@@ -9,6 +9,7 @@
 from jaspershelf.model import Repeat
 from lugspur.body import Body
 from lugspur.config import Config
+from lugspur.memory import Holding
 
 TIME = re.compile(rb"\d{1,9}(\.\d+)?")
 METHODS = {Repeat.SAFE: (b"GET", False), Repeat.KEYED: (b"POST", True), Repeat.UNSAFE: (b"POST", False)}
@@ -54,6 +55,30 @@
     knows_chunks: bool  # the caller's version of HTTP has them
     arrived: float = math.inf  # the loop's time of its last byte
     fault: Rejected | None = None
+    holding: Holding | None = None
+
+    @classmethod
+    def rejected(cls, fault: Rejected) -> Request:
+        """What stands in the queue for a request that could not be read."""
+        body = Body(0, lambda _: None)
+        return cls(b"", b"", {}, b"", body, keep_alive=False, knows_chunks=False, fault=fault)
+
+    def release(self) -> None:
+        """Nobody needs its text any more."""
+        self.lines = b""
+        self.headers = {}
+        self.body.release()
+        if self.holding is not None:
+            self.holding.set(0)
+
+    def held(self) -> int:
+        """Bytes that it holds."""
+        return self.body.held_size() + (0 if self.holding is None else self.holding.size)
+
+    def refuse(self, fault: Rejected) -> None:
+        """Answer it with this, and keep nothing of it for that."""
+        self.fault = fault
+        self.release()
 
 
 @dataclass(slots=True)
@@ -90,3 +115,12 @@
     cost = get(b"x-cost", b"")
     guess = float(cost) / 1e6 if TIME.fullmatch(cost) else 0.0
     return Facts(kind, tenant, float(timeout), guess, get(b"x-retried") == b"1")
+
+
+def closing_reason(front_closes: bool, status: int, request: Request | None) -> str:
+    """Why a connection ends with an answer of this status; empty where its caller wants that."""
+    if front_closes:
+        return "answered, and the process lets its callers go"
+    if request is not None and not request.keep_alive and request.fault is None:
+        return ""
+    return f"answered {status}, and what follows is not to be read"
--- a/lugspur/start_times.py
+++ b/lugspur/start_times.py
@@ -21,6 +21,10 @@
     def __init__(self) -> None:
         self._starts: dict[ServerId, tuple[float, float]] = {}  # as told, and on the proxy's clock
 
+    def forget(self, server: ServerId) -> None:
+        """Nothing is kept of a server that is gone."""
+        self._starts.pop(server, None)
+
     def adjust(self, now: float, row: ServerRow, live: bool) -> ServerRow:
         """The row with its start on the proxy's clock; `live`: it is told as it happens.
 
--- /dev/null
+++ b/lugspur/unread_answers.py
@@ -0,0 +1,46 @@
+"""Ends connections of callers that read no answers: what is written to them serves nobody."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+LOOK_EVERY = 1.0  # seconds
+UNREAD_MOST = 64 << 10  # bytes of unread answers, beyond which no further request is taken up
+
+
+class UnreadAnswers:
+    """Looks whether any of what is unsent goes out; `end` is called where none has for `most` seconds."""
+
+    def __init__(self, transport: asyncio.WriteTransport, end: Callable[[], None], most: float) -> None:
+        """`transport` is the caller's."""
+        self._loop = asyncio.get_running_loop()
+        self._transport = transport
+        self._end = end
+        self._most = most
+        self._timer: asyncio.TimerHandle | None = None
+        self._seen = 0
+        self._waited = 0.0  # seconds in which nothing has gone out
+
+    def is_stuck(self) -> bool:
+        """Whether nothing has gone out since the look before, at the least."""
+        return self._waited > 0.0
+
+    def begin(self) -> None:
+        """Look from now on, until nothing is unsent."""
+        if self._timer is None:
+            self._seen, self._waited = -1, 0.0
+            self._timer = self._loop.call_later(LOOK_EVERY, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        unsent = self._transport.get_write_buffer_size()
+        if not unsent:
+            self._waited = 0.0
+            return
+        self._waited = self._waited + LOOK_EVERY if unsent == self._seen else 0.0
+        self._seen = unsent
+        if self._waited >= self._most:
+            self._end()
+        else:
+            self._timer = self._loop.call_later(LOOK_EVERY, self._look)
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -14,6 +14,7 @@
 from lugspur.config import Address
 from lugspur.event_loop import EventLoop
 from lugspur.exchange import Exchange
+from lugspur.memory import Account
 from lugspur.unread import READS_MOST, Inbox
 
 IDLE_PART = 0.5  # of the time after which backends close idle connections: ours go well before
@@ -25,7 +26,11 @@
 class Upstream:
     """All connections to backends, within a limit on their number."""
 
-    def __init__(self, most: int, conn_idle: float, dial_timeout: float) -> None:
+    def __init__(
+        self, most: int, conn_idle: float, dial_timeout: float, account: Account | None = None
+    ) -> None:
+        """`most` connections; `conn_idle` and `dial_timeout` in seconds."""
+        self.account = account or Account()
         self._loop = asyncio.get_running_loop()
         self._most = self._whole = most
         self._keep = IDLE_PART * conn_idle
@@ -35,7 +40,21 @@
         self.dispatches = 0  # attempts whose last byte is out
         self.news = Inbox()  # what the list may say next
         self._idle: dict[Connection, None] = {}  # the longest idle first
-        self._loop.call_later(self._keep / 4.0, self._sweep)
+        self._sweeper = self._loop.call_later(self._keep / 4.0, self._sweep)
+
+    def fault(self) -> str:
+        """What is wrong with the counts of connections, in words; empty: nothing is."""
+        withdrawn = sum(not connection.backend.in_service for connection in self._idle)
+        if withdrawn:
+            return f"{withdrawn} idle connections are kept to servers that are withdrawn"
+        if min(self._dialling, self._connected) < 0 or self._connected < len(self._idle):
+            return f"{self._dialling} dialling, {self._connected} connected, {len(self._idle)} idle"
+        return ""
+
+    def repair(self) -> None:
+        """Go on sweeping where the timer for it was lost."""
+        if self._sweeper.when() < self._loop.time() - self._keep:
+            self._sweep()
 
     def halve(self) -> None:
         """Hold half as many connections, for as long as two processes share the limit."""
@@ -143,6 +162,8 @@
             connection.abandon("not usable once dialled")
             exchange.end(Outcome.UNREACHABLE)
             return
+        if not exchange.backend.in_service:
+            self.account.violated("send_withdrawn", exchange.backend.address[0])
         if connection.send(exchange, exchange.head(left)):
             return
         if connection.is_fresh():
@@ -184,7 +205,7 @@
 
     def _sweep(self) -> None:
         """Close what has been idle for long: a request that meets the backend's own close is lost."""
-        self._loop.call_later(self._keep / 4.0, self._sweep)
+        self._sweeper = self._loop.call_later(self._keep / 4.0, self._sweep)
         latest = self._loop.time() - self._keep
         for connection in tuple(self._idle):
             if connection.idle_since > latest:
--- a/tests/test_crossings_upstream.py
+++ b/tests/test_crossings_upstream.py
@@ -35,6 +35,7 @@
 from lugspur.call import Call
 from lugspur.caller import Caller
 from lugspur.exchange import Exchange
+from lugspur.memory import READ_BUFFER
 from lugspur.proxy import Proxy
 from lugspur.request import Facts, Request
 from lugspur.upstream import Upstream
@@ -264,7 +265,7 @@
     """One event, carried out at once."""
     connection = exchange.connection
     if what == "answer" and connection is not None:
-        backend_connection.READ_BUFFER[:len(OK)] = OK
+        READ_BUFFER[:len(OK)] = OK
         connection.buffer_updated(len(OK))
     elif what == "time":
         exchange.expire()
--- a/tests/test_faults_orders.py
+++ b/tests/test_faults_orders.py
@@ -216,7 +216,7 @@
 def test_an_order_that_finds_no_thread_is_a_no_that_never_takes_effect(tmp_path: Path) -> None:
     async def play() -> None:
         async with operated([entry("a", f"{HOST}:9"), entry("b", f"{HOST}:9")]) as (up, port):
-            up.proxy._orders = plain(tmp_path)
+            up.proxy._orders = up.proxy._follower.book = plain(tmp_path)
             with injected(Plan([Fault("thread", count=1)])) as plan:
                 assert status(await say(port, "/api/exclude", NAMED)) == 503
                 assert plan.hits == [1]
--- a/tests/test_list_messages.py
+++ b/tests/test_list_messages.py
@@ -191,5 +191,6 @@
     now += 1.25
     watch.failures = 3
     assert watch.figures() == [
-        "discovery.index=6", "discovery.age_ms=1250", "discovery.failures=3", "discovery.unreadable=1"
+        "discovery.index=6", "discovery.age_ms=1250", "discovery.failures=3", "discovery.unreadable=1",
+        "discovery.names=0", "discovery.names_refused=0",
     ]
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -227,7 +227,7 @@
 def test_an_order_that_cannot_be_kept_is_answered_with_no(tmp_path: Path) -> None:
     async def play() -> None:
         async with operated([entry("a", f"{HOST}:9")]) as (up, port):
-            up.proxy._orders = OrderBook(tmp_path / "missing" / "n0.orders")
+            up.proxy._orders = up.proxy._follower.book = OrderBook(tmp_path / "missing" / "n0.orders")
             assert status(await say(port, "/api/exclude", b'{"id":"a"}')) == 503
             assert up.proxy._balancer.takes(server_id("a"))
 
@@ -293,7 +293,7 @@
     async def play() -> None:
         monkeypatch.setattr("os.rename", slow)
         async with backend(lambda _: OK) as one, operated([entry("a", one.address)]) as (up, port):
-            up.proxy._orders = OrderBook(tmp_path / "n0.orders")
+            up.proxy._orders = up.proxy._follower.book = OrderBook(tmp_path / "n0.orders")
             told = await connect(port)
             told.writer.write(call("/api/evacuate"))
             await until(lambda: bool(up.proxy.admin.calls))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -23,7 +23,7 @@
 
     def __init__(self, path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
         self.moves: list[Address] = []
-        self.reports: list[ConfigError] = []
+        self.reports: list[Exception] = []
         self.waits: list[float] = []
         self._due: Callable[[], object] | None = None
         monkeypatch.setattr(asyncio, "get_running_loop", lambda: self)
--- a/tests/test_telemetry.py
+++ b/tests/test_telemetry.py
@@ -17,19 +17,36 @@
 )
 from test_admin import operated, say
 
+from lugspur.memory import Purpose
+from lugspur.proxy_checks import GUARDED
+
+LIST_FIGURES = ("index", "age_ms", "failures", "unreadable", "names", "names_refused")
+PROCESS_FIGURES = {
+    *(f"memory.{purpose.name.lower()}" for purpose in Purpose),
+    *(f"memory.{name}" for name in (
+        "held", "held_most", "budget", "refusing", "refused", "shed", "reset", "failed_allocations",
+        "resident", "resident_most", "limit")),
+    "loop.longest_turn_ms", "loop.faults",
+    *(f"invariant.{name}" for name in (
+        "violations", "memory_sum", "memory_bound", "memory_limit", "loop_turn", "request_overdue",
+        "connections", "concurrent", *GUARDED)),
+}
 FAILED = b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n"
 
 
 async def figures(port: int) -> dict[str, int]:
-    """All figures by name, but for those of the list, which have their test in test_list_messages.py."""
+    """The figures of requests and servers by name; the values of the others have tests of their own."""
     answer = await say(port, "/api/telemetry", method="GET")
     assert status(answer) == 200
     lines = answer.partition(b"\r\n\r\n")[2].decode().splitlines()
     found = {name: int(value) for name, _, value in (line.partition("=") for line in lines)}
     assert len(found) == len(lines), "a name comes twice"
     of_the_list = {name for name in found if name.startswith("discovery.")}
-    assert of_the_list == {f"discovery.{name}" for name in ("index", "age_ms", "failures", "unreadable")}
-    return {name: value for name, value in found.items() if name not in of_the_list}
+    assert of_the_list == {f"discovery.{name}" for name in LIST_FIGURES}
+    of_the_process = {name for name in found if name.startswith(("memory.", "loop.", "invariant."))}
+    assert of_the_process == PROCESS_FIGURES
+    assert found["invariant.violations"] == 0
+    return {name: value for name, value in found.items() if name not in of_the_list | of_the_process}
 
 
 def expected(**changed: int) -> dict[str, int]:
