--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -9,6 +9,8 @@
   request that is read after the shutdown and forwarded is lost" (S).
 - "Whatever SIGKILL finds unanswered, if that request arrived more than 0.7 s after SIGTERM" is lost (P).
 - A request that is unsafe to repeat reaches a second server only where the first attempt never ran.
+- "Over `memory_mb` the proxy is killed" (DEPLOY): its resident size stays under it.
+- None of the invariants that the process checks itself is violated.
 """
 
 from __future__ import annotations
@@ -43,7 +45,11 @@
     requests: list[Sent] = field(default_factory=list)
     runs: Mapping[str, Sequence[bool]] = field(default_factory=dict)  # by request: which attempts may run
     exit_status: int | None = None  # None: it had not ended at SIGKILL
+    ended_early: int | None = None  # its status where it had ended before SIGTERM
     late: float = 0.0  # the longest time for which the stand-ins were held up
+    memory_mb: float = 0.0  # that the process may have; 0: no limit
+    peak_mb: float = 0.0  # resident, at the most
+    violations: Mapping[str, int] = field(default_factory=dict)  # of its own invariants, by name
 
 
 def breaks(observed: Observed) -> list[str]:
@@ -53,8 +59,13 @@
         ran = list(observed.runs.get(sent.name, ()))
         if sent.unsafe and sum(ran) > 1:
             found.append(f"{sent.name} is unsafe to repeat and may have run {sum(ran)} times")
+    if observed.ended_early is not None:
+        found.append(f"the process ended by itself, with {observed.ended_early}")
     if observed.exit_status not in (None, 0):
         found.append(f"the process ended with {observed.exit_status}")
+    if observed.memory_mb and observed.peak_mb > observed.memory_mb:
+        found.append(f"{observed.peak_mb:.0f} MB were resident, {observed.memory_mb:.0f} may be")
+    found += [f"invariant {name}: {count} times" for name, count in observed.violations.items() if count]
     return found
 
 
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -17,10 +18,12 @@
 from pathlib import Path
 from typing import Any
 
-from loopback import entry, free_port
+from hostile.callers import Call, crowd
+from loopback import entry
 
 from soak.clients import Client
 from soak.judge import Observed, breaks
+from soak.registry import StandInRegistry
 from soak.servers import StandInServer, draw_conduct
 
 ROOT = Path(__file__).parents[2]
@@ -30,9 +33,24 @@
 QUIET = 0.3  # seconds after SIGKILL in which what was on its way still comes
 CROWDED_CLIENTS, CROWDED_SOCKETS = 90, 160
 LATE_LOOK = 0.02
+MEASURE_EVERY = 0.25  # seconds
+PEERS, PROCESS = ".1", ".2"  # the last part of their addresses
+PORT, ADMIN_PORT = 8080, 8081  # of the process
+NOBODY = 9  # a port at which nobody listens
+PEAK = re.compile(r"VmHWM:\s*(\d+)")
 HOSTS = itertools.count(1)
 
 
+@dataclass(slots=True, frozen=True)
+class Attack:
+    """A crowd of hostile callers, for a time."""
+
+    at: float  # seconds after the process is ready
+    seconds: float
+    number: int
+    call: Call
+
+
 @dataclass(slots=True)
 class Plan:
     """What a seed draws."""
@@ -46,6 +64,11 @@
     connects_for: float  # seconds after SIGTERM in which new connections come
     before: list[tuple[float, str]] = field(default_factory=list)  # signals, in seconds after the begin
     after: list[tuple[float, str]] = field(default_factory=list)  # the same, after SIGTERM
+    serves_for: float = 1.5  # seconds from the begin to SIGTERM
+    floods: float = 0.0  # part of the requests that servers answer without end
+    attacks: list[Attack] = field(default_factory=list)
+    registries: bool = False  # there are a true and a hostile one, to which "HUP ..." moves
+    memory_mb: int = 192
 
     @property
     def grace(self) -> float:
@@ -99,41 +122,104 @@
         self.observed.runs = self._runs
         self._hangs = plan.hangs
         self._connects_until = float("inf")
+        self._registries: dict[str, StandInRegistry] = {}
+        self.port, self.admin = PORT, ADMIN_PORT
+        # An address of its own: no other process's listener, nor a connection's own port, is in its way.
+        self._host = f"127.{os.getpid() % 100 + 20}.{next(HOSTS) % 250}"
+
+    async def connect(
+        self, port: int | None = None
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A new connection, to the callers' port by default."""
+        return await asyncio.open_connection(self._host + PROCESS, port or self.port)
 
     async def play(self) -> None:
         """From the start of the process to its end."""
         async with self._servers() as servers:
-            port = free_port()
-            text = self._configuration(port, [server.address for server in servers])
+            self._rows = [entry(f"s{number}", server.address) for number, server in enumerate(servers)]
+            await self._open_registries()
+            text = self._configuration("true")
             self._path.write_text(text)
             with self._log.open("wb") as log:
                 process = await asyncio.create_subprocess_exec(
                     sys.executable, *self._program, cwd=ROOT, stderr=log,
                     env={**os.environ, "RELAY_CONFIG": str(self._path)},
                 )
-            looking = asyncio.create_task(self._look_late())
-            clients: list[asyncio.Task[None]] = []
+            tasks = [asyncio.create_task(task) for task in (self._look_late(), self._measure(process.pid))]
             try:
-                await _ready(port)
-                clients = [asyncio.create_task(client.run()) for client in self._clients(port)]
-                await self._signals(process, text)
+                await self._ready()
+                tasks += [asyncio.create_task(client.run()) for client in self._clients()]
+                tasks += [asyncio.create_task(self._attack(attack)) for attack in self._plan.attacks]
+                await self._signals(process)
             finally:
-                await self._end(process, [*clients, looking])
+                await self._end(process, tasks)
+                for registry in self._registries.values():
+                    registry.close()
+
+    async def _ready(self) -> None:
+        async with asyncio.timeout(READY_MOST):
+            while True:
+                with suppress(OSError, asyncio.IncompleteReadError):
+                    reader, writer = await self.connect()
+                    writer.write(b"GET /healthz HTTP/1.1\r\nHost: soak\r\n\r\n")
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    writer.transport.abort()
+                    if head.startswith(b"HTTP/1.1 200"):
+                        return
+                await asyncio.sleep(0.05)
+
+    async def _open_registries(self) -> None:
+        if not self._plan.registries:
+            return
+        for name, rows in (("true", self._rows), ("hostile", None)):
+            registry = self._registries[name] = StandInRegistry(rows, self._rng)
+            await registry.open(self._host + PEERS)
+
+    async def _attack(self, attack: Attack) -> None:
+        await asyncio.sleep(attack.at)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(attack.seconds):
+                await crowd(self, attack.number, attack.call)
+
+    async def _measure(self, process: int) -> None:
+        """Note the peak of the process's memory, and what it says of its own invariants."""
+        self.observed.memory_mb = self._plan.memory_mb * 1e6 / (1 << 20)
+        while True:
+            with suppress(OSError):
+                if found := PEAK.search(Path(f"/proc/{process}/status").read_text()):
+                    self.observed.peak_mb = max(self.observed.peak_mb, int(found[1]) / 1024.0)
+            with suppress(OSError, TimeoutError, ValueError):
+                async with asyncio.timeout(MEASURE_EVERY):
+                    self.observed.violations = await self._violations()
+            await asyncio.sleep(MEASURE_EVERY)
+
+    async def _violations(self) -> dict[str, int]:
+        reader, writer = await self.connect(self.admin)
+        try:
+            writer.write(b"GET /api/telemetry HTTP/1.1\r\nHost: soak\r\n\r\n")
+            rows = (await reader.read()).decode().splitlines()
+        finally:
+            writer.transport.abort()
+        pairs = [row.removeprefix("invariant.").split("=") for row in rows if row.startswith("invariant.")]
+        found = {name: int(count) for name, count in pairs if name != "violations"}
+        return found or dict(self.observed.violations)
 
-    async def _signals(self, process: asyncio.subprocess.Process, text: str) -> None:
+    async def _signals(self, process: asyncio.subprocess.Process) -> None:
         begun = time.monotonic()
         for at, kind in self._plan.before:
             await _until(begun + at)
-            await self._signal(process, kind, text)
-        await _until(begun + 1.5)
+            await self._signal(process, kind)
+        await _until(begun + self._plan.serves_for)
         self._hangs = self._plan.hangs_at_end
         self.observed.term_at = time.monotonic()
         self.observed.kill_at = self.observed.term_at + self._plan.grace
         self._connects_until = self.observed.term_at + self._plan.connects_for
-        process.send_signal(signal.SIGTERM)
+        self.observed.ended_early = process.returncode
+        with suppress(ProcessLookupError):
+            process.send_signal(signal.SIGTERM)
         for at, kind in self._plan.after:
             await _until(self.observed.term_at + at)
-            await self._signal(process, kind, text)
+            await self._signal(process, kind)
         await _until(self.observed.kill_at)
         self.observed.kill_at = time.monotonic()
         self.observed.exit_status = process.returncode
@@ -141,17 +227,18 @@
             process.kill()
         await asyncio.sleep(QUIET)
 
-    async def _signal(self, process: asyncio.subprocess.Process, kind: str, text: str) -> None:
+    async def _signal(self, process: asyncio.subprocess.Process, kind: str) -> None:
         with suppress(ProcessLookupError):
             if kind == "STOP":  # held up as long as a proxy may be between its clock and its write
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(0.15)
                 process.send_signal(signal.SIGCONT)
             elif kind.startswith("HUP"):
+                text = self._configuration("hostile" if kind == "HUP hostile" else "true")
                 self._path.write_text(text[:len(text) // 2] if kind == "HUP broken" else text)
                 process.send_signal(signal.SIGHUP)
             else:
-                process.send_signal(signal.SIGTERM if kind == "TERM" else signal.SIGINT)
+                process.send_signal(signal.Signals[f"SIG{kind}"])
 
     async def _end(
         self, process: asyncio.subprocess.Process, tasks: list[asyncio.Task[None]]
@@ -164,9 +251,9 @@
                 process.kill()
         await process.wait()
 
-    def _clients(self, port: int) -> list[Client]:
+    def _clients(self) -> list[Client]:
         return [
-            Client(("127.0.0.1", port), random.Random(self._rng.random()), self._timeout(),
+            Client((self._host + PROCESS, self.port), random.Random(self._rng.random()), self._timeout(),
                    self.observed.requests, lambda: time.monotonic() < self._connects_until, self._plan.think)
             for _ in range(self._plan.clients)
         ]
@@ -176,24 +263,27 @@
 
     @asynccontextmanager
     async def _servers(self) -> AsyncIterator[list[StandInServer]]:
-        host = f"127.{os.getpid() % 100 + 20}.{next(HOSTS) % 250}.1"
-        conduct: Callable[[], Any] = lambda: draw_conduct(self._rng, self._hangs)  # noqa: E731
+        conduct: Callable[[], Any] = lambda: draw_conduct(  # noqa: E731
+            self._rng, self._hangs, self._plan.floods)
         servers = [StandInServer(conduct, self._runs) for _ in range(4)]
         for server in servers:
-            await server.open(host)
+            await server.open(self._host + PEERS)
         try:
             yield servers
         finally:
             for server in servers:
                 server.close()
 
-    def _configuration(self, port: int, servers: list[str]) -> str:
+    def _configuration(self, registry: str) -> str:
+        """The text of the file, with discovery at this registry."""
+        discovery = self._registries[registry].port if registry in self._registries else NOBODY
+        host = self._host + PROCESS
         times = {"Aim": self._plan.deadline, "HardLimit": self._plan.deadline, "LateWorth": 0.5}
-        rows = [entry(f"s{number}", address) for number, address in enumerate(servers)]
         return json.dumps({
-            "name": "n0", "listen": f"127.0.0.1:{port}", "discovery": "127.0.0.1:9", "seed": "1f",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self._plan.sockets},
-            "known": {"index": 3, "snapshot": True, "endpoints": rows},
+            "name": "n0", "listen": f"{host}:{self.port}", "discovery": f"{self._host}{PEERS}:{discovery}",
+            "admin_addr": f"{host}:{self.admin}", "seed": "1f",
+            "limits": {"cores": 1.0, "memory_mb": self._plan.memory_mb, "sockets": self._plan.sockets},
+            "known": {"index": 3, "snapshot": True, "endpoints": self._rows},
             "settings": {
                 "Instances": 1, "RegistryMode": "pushed",
                 "Services": [
@@ -222,19 +312,6 @@
     await asyncio.sleep(max(0.0, when - time.monotonic()))
 
 
-async def _ready(port: int) -> None:
-    async with asyncio.timeout(READY_MOST):
-        while True:
-            with suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", port)
-                writer.write(b"GET /healthz HTTP/1.1\r\nHost: soak\r\n\r\n")
-                head = await reader.readuntil(b"\r\n\r\n")
-                writer.transport.abort()
-                if head.startswith(b"HTTP/1.1 200"):
-                    return
-            await asyncio.sleep(0.05)
-
-
 def play(
     seed: int, change: Callable[[Plan], None] = lambda plan: None, program: Sequence[str] = PROGRAM
 ) -> Result:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -21,10 +21,25 @@
     after: float  # seconds
     answer: bytes | None  # None: nothing ever comes
     resets: bool = False
+    flood: bytes = b""  # what comes after it again and again, to no end
 
 
-def draw_conduct(rng: random.Random, hangs: float) -> Conduct:
-    """Mostly soon and well; `hangs` is the part that is never answered."""
+HEAD_MOST = 256 << 10  # bytes of a request's head
+FLOOD_PIECE = 64 << 10  # bytes
+FLOOD_MOST = 4 << 20  # bytes of one answer
+FLOODS = (  # what an answer begins with, and what then never ends
+    (b"HTTP/1.1 200 OK\r\n", b"X-A: b\r\n" * (FLOOD_PIECE // 8)),
+    (b"HTTP/1.1 200 OK\r\nX-A: ", b"b" * FLOOD_PIECE),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ", b"b" * FLOOD_PIECE),
+    (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * (FLOOD_PIECE // 27)),
+)
+
+
+def draw_conduct(rng: random.Random, hangs: float, floods: float = 0.0) -> Conduct:
+    """Mostly soon and well; `hangs` is the part without an answer, `floods` that with one that never ends."""
+    if floods and rng.random() < floods:
+        head, flood = rng.choice(FLOODS)
+        return Conduct(0.0, head, flood=flood)
     chance = rng.random()
     if chance < hangs:
         return Conduct(0.0, None)
@@ -46,7 +61,7 @@
 
     async def open(self, host: str) -> None:
         """Listen at a free port."""
-        self._server = await asyncio.start_server(self._serve, host, 0)
+        self._server = await asyncio.start_server(self._serve, host, 0, limit=HEAD_MOST)
         self.address = "{}:{}".format(*self._server.sockets[0].getsockname())
 
     def close(self) -> None:
@@ -74,7 +89,13 @@
                 if conduct.resets:
                     break
                 writer.write(conduct.answer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                if conduct.flood:
+                    for _ in range(FLOOD_MOST // len(conduct.flood)):
+                        writer.write(conduct.flood)
+                        await writer.drain()
+                    await reader.read()
+                    break
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self._tasks.discard(task)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,14 @@
-"""A short soak of real processes, and that it can fail: `make soak` plays more seeds."""
+"""Short soaks of real processes, alone and as a fleet, and that they can fail: `make soak` has more."""
 
 from __future__ import annotations
 
 import pytest
+from soak.fleet import play_fleet
 from soak.judge import LATE_MOST, Observed, Sent, breaks
 from soak.play import Plan, play
 
 SEEDS = range(100, 108)  # two of them crowded: some 50 s in all
+FLEET_SEEDS, FLEET_PROCESSES = range(1000, 1003), 10  # some 12 s each
 
 #: Mistakes put into the program, each with what it does at its end.
 #: "the listener is left at once": clients that stay send up to SIGKILL, and nobody closes their connections.
@@ -26,7 +28,7 @@
 
 
 def all_hang_at_the_end(plan: Plan) -> None:
-    plan.deadline, plan.clients, plan.sockets, plan.think, plan.hangs_at_end = 2.0, 12, 1024, 0.02, 0.8
+    plan.deadline, plan.clients, plan.sockets, plan.think, plan.hangs_at_end = 2.0, 40, 1024, 0.02, 0.8
     plan.before, plan.after = [], []
 
 
@@ -60,3 +62,27 @@
 
 def test_a_process_that_ends_with_a_fault_is_a_break() -> None:
     assert breaks(Observed(TERM, KILL, exit_status=1)) and not breaks(Observed(TERM, KILL, exit_status=0))
+    assert breaks(Observed(TERM, KILL, exit_status=0, ended_early=0))
+
+
+def test_a_process_over_its_memory_or_with_a_violation_is_a_break() -> None:
+    assert breaks(Observed(TERM, KILL, memory_mb=64.0, peak_mb=65.0))
+    assert not breaks(Observed(TERM, KILL, memory_mb=64.0, peak_mb=63.0, violations={"memory_sum": 0}))
+    assert breaks(Observed(TERM, KILL, violations={"memory_sum": 1}))
+
+
+@pytest.mark.parametrize("seed", FLEET_SEEDS)
+def test_a_fleet_holds_its_rules_and_limits_under_overlapping_faults(seed: int) -> None:
+    result = play_fleet(seed, FLEET_PROCESSES)
+    assert result.broken == [] and result.requests > 20 * FLEET_PROCESSES
+
+
+def test_a_fleet_without_bounds_is_caught() -> None:
+    program = (
+        "-c", "import sys, lugspur.caller as c, lugspur.backend_connection as b, lugspur.memory as m\n"
+        "m.Account.read_buffer = lambda self, least=0: m.READ_BUFFER\n"
+        "m.Account.relieve = lambda self: None\nm.MemoryOverload.update = lambda self, held: False\n"
+        "c.HEAD_MOST = b.ANSWER_HEAD_MOST = 1 << 30\nc.HEADERS_MOST = b.HEADERS_MOST = 1 << 30\n"
+        "from lugspur.process import main\nsys.exit(main())",
+    )
+    assert play_fleet(FLEET_SEEDS[0], FLEET_PROCESSES, program).broken
