Input in very many small parts is read slowly

Cause: each part of a message costs the loop a callback, whatever its size; 340 connections with 85 parts a turn each, and 1,000 headers before a head is refused, made each turn long, and a request needs several.

The account reckons 4 kB a connection (3.2 measured), 6 before.

--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -14,9 +14,10 @@
 
 from lugspur.backend_connection import BLANKS, HEADERS_MOST, HOP_BY_HOP
 from lugspur.body import BODY_MOST, HELD_MOST, Body
+from lugspur.costly_input import CostlyInput
 from lugspur.events import log
 from lugspur.exchange import STUCK, Exchange, Response
-from lugspur.memory import CONNECTION_COST, OUT_OF_MEMORY, READ_BUFFER, REQUEST_COST, Purpose
+from lugspur.memory import OUT_OF_MEMORY, READ_BUFFER, REQUEST_COST, CallerHoldings, Purpose
 from lugspur.request import NAMED, Rejected, Request, classify, closing_reason, origin_form, path_of
 from lugspur.trace import trace
 from lugspur.unread_answers import UNREAD_MOST, UnreadAnswers
@@ -60,9 +61,8 @@
         self._head_size = 0  # bytes that have come of the head, or since the last of the body
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
         self._account = account = front.account
-        self._connection_held = account.holding(Purpose.CONNECTIONS)
-        self._head_held = account.holding(Purpose.HEADS)
-        self._unsent_held = account.holding(Purpose.ANSWERS)
+        self._held = CallerHoldings(account)
+        self._input = CostlyInput(account, lambda: bool(self._incoming and self._incoming.body.throttled))
         self._begin()
 
     def _begin(self) -> None:
@@ -78,8 +78,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._account.holders[self] = None
-        self._connection_held.set(CONNECTION_COST)
+        self._held.open(self)
         self._front.admit(self)
         self._watch()
 
@@ -90,12 +89,10 @@
 
     def _release(self) -> None:
         """Hold nothing more of it."""
-        self._account.holders.pop(self, None)
         self._leave()
         self._take_no_more()
         self._unread = None
-        for holding in (self._connection_held, self._head_held, self._unsent_held):
-            holding.set(0)
+        self._held.close(self)
 
     def eof_received(self) -> None:
         """The caller has gone: nothing of it is taken up any more, whatever is still to be written."""
@@ -186,12 +183,11 @@
         """Bytes that are held for this caller."""
         self._note_unsent()
         requests = {id(row): row for row in (*self._queue, self._incoming, self._serving) if row is not None}
-        own = (self._connection_held, self._head_held, self._unsent_held)
-        return sum(row.size for row in own) + sum(row.held() for row in requests.values())
+        return self._held.size() + sum(row.held() for row in requests.values())
 
     def owes(self) -> bool:
         """Whether a request was taken up, or an answer is still on its way."""
-        return self._serving is not None or bool(self._queue) or self._unsent_held.size > 0
+        return self._serving is not None or bool(self._queue) or self._held.unsent.size > 0
 
     def shed(self) -> None:
         """Refuse what is queued or still coming in, and end a connection that reads no answers."""
@@ -212,13 +208,13 @@
         self._release()
 
     def _note_unsent(self) -> None:
-        self._unsent_held.set(self._transport.get_write_buffer_size())
+        self._held.unsent.set(self._transport.get_write_buffer_size())
 
     # ---- what comes in ---------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the next bytes go: what is read is taken up before anything else is read."""
-        return self._account.read_buffer()
+        return READ_BUFFER if self._dropping else self._input.buffer()
 
     def buffer_updated(self, nbytes: int) -> None:
         """So many bytes have come."""
@@ -241,7 +237,8 @@
             self._reject(400, "the request is malformed")
         if self._head_size > HEAD_MOST:  # Guards the memory limit.
             self._reject(413, "the request is too large")
-        self._head_held.set((self._head_size or nbytes) if self.begun else 0)
+        self._held.head.set((self._head_size or nbytes) if self.begun else 0)
+        self._input.read(nbytes, self._transport)
         self.take_up()
         if self.begun and self._limit is None and not self._dropping:
             self._watch()
@@ -297,7 +294,7 @@
         self._take_no_more()
         if incoming is None or incoming is not self._serving:
             self._queue.append(Request.rejected(Rejected(status, reason)))
-            self._head_held.set(0)
+            self._held.head.set(0)
             return
         self._tell_gone()
         if self._source is not None:
@@ -333,6 +330,7 @@
         if self._incoming is not None or self._dropping:
             return  # a trailer, or of no use
         self._header_count += 1
+        self._input.parts += 1
         if self._header_count > HEADERS_MOST:  # Guards the loop: each takes time.
             self._reject(413, "the request has too many headers")
             return
@@ -387,6 +385,7 @@
             return
         before = request.body.size
         self._head_size = 0
+        self._input.parts += 1
         request.body.append(body)
         if request.body.size > BODY_MOST:
             self._reject(413, "the body is too large")
--- a/lugspur/memory.py
+++ b/lugspur/memory.py
@@ -20,7 +20,7 @@
 READ_BUFFER = memoryview(bytearray(READ_MOST))  # of all connections: each takes up what it reads at once
 TURN_LONG, TURN_TOO_LONG = 0.02, 0.1  # seconds of one turn of the loop after which a connection is read...
 PIECE_SMALL, PIECE_LEAST = READ_LEAST, 512  # ...in pieces of so many bytes, so that others have their turn
-CONNECTION_COST = 6 << 10  # bytes that a connection costs without anything held on it
+CONNECTION_COST = 4 << 10  # bytes that a connection costs without anything held on it
 OUT_OF_MEMORY = "out of memory: try again later"
 REQUEST_COST = 3 << 10  # bytes that a request costs beside its text
 
@@ -75,6 +75,33 @@
             self._account.change(self._purpose, change)
 
 
+class CallerHoldings:
+    """What one caller's connection holds beside its requests."""
+
+    __slots__ = ("_account", "connection", "head", "unsent")
+
+    def __init__(self, account: Account) -> None:
+        self._account = account
+        self.connection = Holding(account, Purpose.CONNECTIONS)
+        self.head = Holding(account, Purpose.HEADS)
+        self.unsent = Holding(account, Purpose.ANSWERS)
+
+    def open(self, holder: Holder) -> None:
+        """The connection has come up."""
+        self._account.holders[holder] = None
+        self.connection.set(CONNECTION_COST)
+
+    def close(self, holder: Holder) -> None:
+        """The connection holds nothing more."""
+        self._account.holders.pop(holder, None)
+        for holding in (self.connection, self.head, self.unsent):
+            holding.set(0)
+
+    def size(self) -> int:
+        """Bytes in all."""
+        return self.connection.size + self.head.size + self.unsent.size
+
+
 class Account:
     """The sum of all holdings, and who holds them."""
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -5,6 +5,7 @@
 import asyncio
 from contextlib import suppress
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from loopback import (
@@ -34,6 +35,7 @@
     largest_first,
 )
 from lugspur.backend_connection import Connection
+from lugspur.costly_input import PIECE, CostlyInput
 from lugspur.invariants import Invariants
 from lugspur.memory import Account, Purpose
 from lugspur.unread_answers import UnreadAnswers
@@ -308,3 +310,57 @@
         return ended
 
     assert asyncio.run(play()) == [1]
+
+
+# ---- costly input ------------------------------------------------------------------------------------
+
+
+class Paused(asyncio.ReadTransport):
+    """A transport that notes whether it is read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.reading = True
+
+    def is_closing(self) -> bool:
+        return False
+
+    def pause_reading(self) -> None:
+        self.reading = False
+
+    def resume_reading(self) -> None:
+        self.reading = True
+
+
+@pytest.mark.parametrize(("size", "parts", "costly"), [
+    (6000, 1000, True),  # chunks of one byte
+    (400, 15, False),  # a usual head
+    (65536, 5, False),
+    (60, 10, False),  # few of them: a stream that is slow by nature
+])
+def test_input_in_very_many_small_parts_is_read_slowly(
+    size: int, parts: int, costly: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("lugspur.costly_input.REST", 0.01)
+
+    async def play() -> None:
+        account, transport = Account(), Paused()
+        found = CostlyInput(account, lambda: False)
+        found.parts = parts
+        found.read(size, transport)
+        assert transport.reading is not costly
+        assert len(found.buffer()) == (PIECE if costly else READ_MOST)
+        await until(lambda: transport.reading)
+
+    asyncio.run(play())
+
+
+def test_a_costly_peer_that_is_throttled_is_not_read_on() -> None:
+    async def play() -> None:
+        transport = Paused()
+        found = CostlyInput(Account(), lambda: True)
+        transport.pause_reading()
+        found._go_on(transport)
+        assert not transport.reading
+
+    asyncio.run(play())
