A budget that a failed allocation has lowered rises again; names follow the system's limits

Seen, by reading: one failed allocation lowered the budget for good, to 1 MB where little was held, so that a process would refuse from some 120 connections on until it is restarted.

Change: the budget rises by a tenth a second after a failed allocation; a connection is reckoned at 6 kB again, a tenth of what the system's limits leave is the budget (a fifth before), and the number of names follows those limits too. test_signals.py waits until the process serves, in place of 1.5 s.

--- a/jaspershelf/overload.py
+++ b/jaspershelf/overload.py
@@ -14,7 +14,8 @@
 KIB, MIB = 1 << 10, 1 << 20
 BUDGET_PART = 0.4  # of the memory above the process's own: objects and fragments cost about as much again
 BUDGET_LEAST = 4 * MIB  # whatever the limit: connections alone cost as much
-ALLOWANCE_PART = 0.2  # of what the system's own limits leave: beyond those an allocation fails at once
+ALLOWANCE_PART = 0.1  # of what the system's own limits leave: beyond those an allocation fails at once
+RECOVERY = 1.1  # times the budget before, a second, after a failed allocation
 FAILED_LEAST = MIB  # the least budget where the system gives no more
 REFUSE_FROM, REFUSE_UNTIL = 0.7, 0.6  # parts of the budget between which refusing begins and ends
 RELIEVED = 0.8  # part of the budget down to which holders give up what they hold
@@ -25,6 +26,7 @@
 TELLING_PART = 0.1  # of the budget that has to be held for giving it up to lessen the resident size
 SERVERS_ALWAYS = 4_000  # names of servers that are kept whatever the limit: a fleet has 3,200...
 SERVERS_MOST = 6_400  # ...and at the most
+GONE_MOST, GONE_PART = 2_000, 3  # of them, those that are gone: so many, and one in so many
 SERVER_COST = 1_500  # bytes that the process keeps for one name of a server
 SERVERS_PART = 0.25  # of the memory above the process's own that names may take
 
@@ -37,7 +39,9 @@
         self._limit = limit
         self._shared_by = 1  # processes
         self._rest = 0  # resident size of the process with nothing held
-        self._ceiling = inf  # of the budget, once an allocation has failed
+        self._allowance = inf  # what the system's limits on the process leave it
+        self._system = inf  # the most that the system's limits on the process allow as a budget
+        self._ceiling = inf  # of the budget, for a while after an allocation has failed
         self._standing = 0
         self.budget = inf
         self.quiet = inf  # as long as no more is held, and nothing is refused, there is nothing to decide
@@ -45,7 +49,8 @@
 
     @property
     def _headroom(self) -> float:
-        return inf if self._limit is None else max(0.0, self._limit / self._shared_by - self._rest)
+        stated = inf if self._limit is None else max(0.0, self._limit / self._shared_by - self._rest)
+        return min(stated, self._allowance)
 
     def start(self, resident: int, allowance: float = inf) -> None:
         """Serve from here on, with this resident size before anything is held.
@@ -53,7 +58,8 @@
         `allowance` is what the system's limits on the process leave it.
         """
         self._rest = resident
-        self._ceiling = min(self._ceiling, max(FAILED_LEAST, ALLOWANCE_PART * allowance))
+        self._allowance = allowance
+        self._system = max(FAILED_LEAST, ALLOWANCE_PART * allowance)
         self._set_budget()
 
     def share(self, processes: int) -> None:
@@ -67,21 +73,29 @@
         self._set_budget()
 
     def allocation_failed(self, held: int) -> None:
-        """The system gave no more memory while so much was held: the limit is lower than stated."""
+        """The system gave no more memory while so much was held: less may be, until it has recovered."""
         self._ceiling = min(self._ceiling, max(FAILED_LEAST, FAILED_PART * held))
         self._set_budget()
 
+    def recover(self) -> None:
+        """A second has passed: a budget that a failed allocation has lowered rises again."""
+        if self._ceiling < inf:
+            self._ceiling *= RECOVERY
+            self._set_budget()
+
     def _set_budget(self) -> None:
         stated = max(BUDGET_LEAST, BUDGET_PART * self._headroom - self._standing)
-        self.budget = float(min(stated, self._ceiling))
+        self.budget = float(min(stated, self._system, self._ceiling))
         self.quiet = min(REFUSE_UNTIL * self.budget, self.budget - READ_MOST / READ_PART)
 
     def servers_most(self) -> int:
         """Names of servers that may be kept, with those that are gone."""
-        if self._limit is None:
-            return SERVERS_MOST
         return int(min(SERVERS_MOST, max(SERVERS_ALWAYS, SERVERS_PART * self._headroom / SERVER_COST)))
 
+    def gone_most(self) -> int:
+        """Of them, names of servers that are gone."""
+        return min(GONE_MOST, self.servers_most() // GONE_PART)
+
     def read_size(self, held: int) -> int:
         """How much may be read of one connection now: less and less, as what is free runs out."""
         free = (self.budget - held) * READ_PART
--- a/lugspur/discovery.py
+++ b/lugspur/discovery.py
@@ -98,7 +98,7 @@
         self._reader = reader
         self.index = index  # of the list as it is told
         self._told = told
-        self._table = EndpointTable(known, index, self.account.overload.servers_most)
+        self._table = EndpointTable(known, index, self.account.overload)
         self._clock = clock
         self._failed = failed
         self._watch: _Watch | None = None
--- a/lugspur/endpoint_table.py
+++ b/lugspur/endpoint_table.py
@@ -7,16 +7,15 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from jaspershelf.model import ListKind, State
-from jaspershelf.overload import SERVERS_MOST
+from jaspershelf.overload import MemoryOverload
 from lugspur.endpoints import Endpoint, ListMessage, PartialEntry
 
 RANK = {State.UP: 0, State.DRAINING: 1, State.GONE: 2}  # the higher, the less a server may be used
 MADE_ROOM = 8  # the part of all servers that is forgotten in one go where there is no room for a new one
-GONE_MOST = 2_000  # removed servers that are remembered: names may be new at each replacement
 STATE_LOST_AFTER = 30.0  # seconds with older messages alone, after which discovery has lost its state
 
 
@@ -35,11 +34,11 @@
 
     def __init__(
         self, endpoints: Iterable[Endpoint] = (), index: int = 0,
-        most: Callable[[], int] = lambda: SERVERS_MOST,
+        overload: MemoryOverload | None = None,
     ) -> None:
-        """`most` tells how many servers may be kept, the removed ones among them."""
+        """`overload` tells how many servers may be kept, and how many removed ones among them."""
         self._known = {endpoint.row.server: _Known(endpoint, index) for endpoint in endpoints}
-        self._most = most
+        self._overload = overload or MemoryOverload()
         self._forgot_withdrawn = False  # an older message may name a server that is not known to be withdrawn
         self._full = False  # a look in this message has found none that could make room
         self._evicted: list[Endpoint] = []  # draining servers that have just made room for others
@@ -106,7 +105,7 @@
         """Keep what is told of a server; False where it is new and there is no room for it."""
         known = self._known.get(endpoint.row.server)
         if known is None:
-            if len(self._known) >= self._most() and not self._make_room_for(endpoint):
+            if len(self._known) >= self._overload.servers_most() and not self._make_room_for(endpoint):
                 return False
             self._known[endpoint.row.server] = _Known(endpoint, index)
         else:
@@ -138,7 +137,7 @@
         withdrawn = [] if self._full else [n for n, known in self._known.items() if known.rank]
         self._full = not withdrawn
         withdrawn.sort(key=lambda n: self._known[n].endpoint.row.state is not State.GONE)
-        for server in withdrawn[:max(1, self._most() // MADE_ROOM)]:
+        for server in withdrawn[:max(1, self._overload.servers_most() // MADE_ROOM)]:
             known = self._known.pop(server)
             if known.endpoint.row.state is not State.GONE:
                 self._evicted.append(_withdrawn(known.endpoint, State.GONE))
@@ -147,10 +146,11 @@
         return bool(withdrawn)
 
     def _forget_removed(self) -> None:
-        if len(self._known) <= GONE_MOST:
+        most = self._overload.gone_most()
+        if len(self._known) <= most:
             return
         removed = [n for n, known in self._known.items() if known.endpoint.row.state is State.GONE]
-        for server in removed[:max(0, len(removed) - GONE_MOST)]:
+        for server in removed[:max(0, len(removed) - most)]:
             del self._known[server]
             self._forgot_withdrawn = True
 
--- a/lugspur/memory.py
+++ b/lugspur/memory.py
@@ -20,7 +20,7 @@
 READ_BUFFER = memoryview(bytearray(READ_MOST))  # of all connections: each takes up what it reads at once
 TURN_LONG, TURN_TOO_LONG = 0.02, 0.1  # seconds of one turn of the loop after which a connection is read...
 PIECE_SMALL, PIECE_LEAST = READ_LEAST, 512  # ...in pieces of so many bytes, so that others have their turn
-CONNECTION_COST = 4 << 10  # bytes that a connection costs without anything held on it
+CONNECTION_COST = 6 << 10  # bytes that a connection costs without anything held on it
 OUT_OF_MEMORY = "out of memory: try again later"
 REQUEST_COST = 3 << 10  # bytes that a request costs beside its text
 
--- a/lugspur/monitor.py
+++ b/lugspur/monitor.py
@@ -73,6 +73,7 @@
         late = self._timer is not None and self._loop.time() - self._timer.when() > LATE_MOST
         self._timer = None
         try:
+            self._account.overload.recover()
             self._look_at_memory()
             if isinstance(self._loop, EventLoop):
                 self._loop.restore_reserve()
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -32,7 +32,6 @@
 from lugspur.call import Call
 from lugspur.caller import Caller
 from lugspur.config import Address, Config
-from lugspur.endpoint_table import GONE_MOST
 from lugspur.events import log
 from lugspur.exchange import Exchange, Response
 from lugspur.front import Front
@@ -327,7 +326,7 @@
         self._list.follow(kind, told)
         self._perform(actions)
         self._rank()
-        for server in self._balancer.forget(GONE_MOST):
+        for server in self._balancer.forget(self._overload.gone_most()):
             self._list.forget(server)
             self._start_times.forget(server)
 
--- a/tests/test_list_messages.py
+++ b/tests/test_list_messages.py
@@ -6,8 +6,9 @@
 import pytest
 
 from jaspershelf.model import ListKind, State
+from jaspershelf.overload import GONE_MOST
 from lugspur.discovery import Discovery
-from lugspur.endpoint_table import GONE_MOST, STATE_LOST_AFTER, EndpointTable
+from lugspur.endpoint_table import STATE_LOST_AFTER, EndpointTable
 from lugspur.endpoints import Endpoint, Reader, server_name
 
 ENTRY = {"name": "s", "address": "127.0.0.1:1", "status": "in_service", "zone": "a", "type": "m", "group": 1,
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -60,6 +60,11 @@
     assert made.budget == BUDGET_PART * 80 * MIB - 10 * MIB
     made.allocation_failed(8 * MIB)
     assert made.budget == 6 * MIB
+    made.recover()
+    assert 6 * MIB < made.budget < 7 * MIB
+    for _ in range(60):
+        made.recover()
+    assert made.budget == BUDGET_PART * 80 * MIB - 10 * MIB
     assert overload(20 * MIB).budget == BUDGET_LEAST
 
 
--- a/tests/test_server_names.py
+++ b/tests/test_server_names.py
@@ -8,7 +8,8 @@
 from loopback import config, entry
 
 from jaspershelf.model import ListKind
-from lugspur.endpoint_table import GONE_MOST, EndpointTable
+from jaspershelf.overload import GONE_MOST, MemoryOverload
+from lugspur.endpoint_table import EndpointTable
 from lugspur.endpoints import Reader
 from lugspur.proxy import Proxy
 
@@ -18,6 +19,17 @@
     return orjson.dumps({"index": index, "snapshot": whole, "endpoints": rows})
 
 
+class Few(MemoryOverload):
+    """Room for so many servers."""
+
+    def __init__(self, most: int) -> None:
+        super().__init__()
+        self._most = most
+
+    def servers_most(self) -> int:
+        return self._most
+
+
 READER = Reader({"here": 0}, {"k": 0})
 
 
@@ -38,7 +50,7 @@
 
 
 def test_draining_names_make_room_and_are_gone_for_the_balancer() -> None:
-    table = EndpointTable(most=lambda: 100)
+    table = EndpointTable(overload=Few(100))
     kept: set[int] = set()
     for turn in range(10):
         up, down = range(100 * turn, 100 * turn + 10), range(100 * turn + 10, 100 * turn + 20)
@@ -54,7 +66,7 @@
 
 
 def test_a_new_server_that_finds_no_room_is_counted_and_the_others_stay() -> None:
-    table = EndpointTable(most=lambda: 10)
+    table = EndpointTable(overload=Few(10))
     first = table.apply(0.0, READER.message(list_of(range(10), 1, whole=False)))
     more = table.apply(0.0, READER.message(list_of(range(10, 15), 2, whole=False)))
     assert (len(first), len(more), len(table), table.refused) == (10, 0, 10, 5)
@@ -64,7 +76,7 @@
 
 
 def test_a_server_that_was_forgotten_is_not_put_back_by_an_older_message() -> None:
-    table = EndpointTable(most=lambda: 10)
+    table = EndpointTable(overload=Few(10))
     table.apply(0.0, READER.message(list_of(range(10), 5, whole=False, status="terminating")))
     table.apply(0.0, READER.message(list_of(range(10, 15), 6, whole=False)))
     older = table.apply(0.0, READER.message(list_of(range(5), 4, whole=False)))
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -29,6 +30,16 @@
     return status(answer) == 200
 
 
+async def serving_or_ended(process: asyncio.subprocess.Process, port: int) -> None:
+    """Wait until it takes connections, or is told to end by the signal and has."""
+    while process.returncode is None:
+        with suppress(OSError):
+            _, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.transport.abort()
+            return
+        await asyncio.sleep(0.05)
+
+
 def test_no_signal_ends_a_process_in_service(tmp_path: Path) -> None:
     async def script() -> None:
         async with stage(tmp_path, servers.answer_well, None) as target:
@@ -76,7 +87,8 @@
     command = f"{trap}; echo held; {program.replace('.venv/bin/python', sys.executable)}"
 
     async def one(number: signal.Signals, at: float) -> int | None:
-        env = environment(tmp_path / f"{number}-{at}", f"127.0.0.1:{free_port()}", "127.0.0.1:9", [])
+        port = free_port()
+        env = environment(tmp_path / f"{number}-{at}", f"127.0.0.1:{port}", "127.0.0.1:9", [])
         process = await asyncio.create_subprocess_exec(
             "/bin/sh", "-c", command, cwd=ROOT, env=env, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.DEVNULL,
@@ -85,12 +97,10 @@
         await soon(process.stdout.readline())
         await asyncio.sleep(at)
         process.send_signal(number)
-        await asyncio.sleep(1.5)
-        ended = process.returncode
-        if ended is None:
+        await soon(serving_or_ended(process, port))
+        if process.returncode is None:
             process.send_signal(signal.SIGTERM)
-            ended = await soon(process.wait())
-        return ended
+        return await soon(process.wait())
 
     async def script() -> list[int | None]:
         kinds = (signal.SIGHUP, signal.SIGINT, signal.SIGUSR1)
