A closed connection leaves no cycle; every way to start the program holds signals

Seen, by reading the change once more: what reads a costly peer referred back to its connection, so that a closed one waited for the garbage collector again; the command line's own way to run the program did not hold signals back; a connection that reads no answers was reset without its bytes leaving the account at once, and one that is only read on kept those of its head in it.

Measured: the new test finds the connection gone with the collector off; tests of the account, signals, bodies, callers and limits pass.

--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -62,7 +62,7 @@
         self.gone: Callable[[], None] | None = None  # told when the caller leaves before its answer
         self._account = account = front.account
         self._held = CallerHoldings(account)
-        self._input = CostlyInput(account, lambda: bool(self._incoming and self._incoming.body.throttled))
+        self._input = CostlyInput(account)
         self._begin()
 
     def _begin(self) -> None:
@@ -200,7 +200,7 @@
             self._reject(500 if self._serving is self._incoming is not None else 503, OUT_OF_MEMORY)
             self.take_up()
         if self._serving is None and self._unread is not None and self._unread.is_stuck():
-            self.abort("it reads no answers, and memory is short")
+            self.reset()
 
     def reset(self) -> None:
         """End the connection, and whatever is held for it."""
@@ -238,7 +238,8 @@
         if self._head_size > HEAD_MOST:  # Guards the memory limit.
             self._reject(413, "the request is too large")
         self._held.head.set((self._head_size or nbytes) if self.begun else 0)
-        self._input.read(nbytes, self._transport)
+        if self._incoming is None or not self._incoming.body.throttled:
+            self._input.read(nbytes, self._transport)
         self.take_up()
         if self.begun and self._limit is None and not self._dropping:
             self._watch()
@@ -294,7 +295,6 @@
         self._take_no_more()
         if incoming is None or incoming is not self._serving:
             self._queue.append(Request.rejected(Rejected(status, reason)))
-            self._held.head.set(0)
             return
         self._tell_gone()
         if self._source is not None:
@@ -309,6 +309,7 @@
         self._unwatch()
         self._parser = SPENT  # the one before keeps what it has read of a head
         self._head_size = 0
+        self._held.head.set(0)
         self._begin()
         incoming, self._incoming = self._incoming, None
         if incoming is not None and incoming is not self._serving:
@@ -418,7 +419,7 @@
         """Have the caller wait until its body has gone on, or no longer."""
         if waits:
             self._transport.pause_reading()
-        else:
+        elif not self._input.rests():
             self._transport.resume_reading()
 
     # ---- requests and answers --------------------------------------------------------------
--- a/lugspur/costly_input.py
+++ b/lugspur/costly_input.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 from lugspur.memory import READ_BUFFER, Account
 
@@ -16,11 +15,10 @@
 class CostlyInput:
     """How one connection is read: as much as the account allows, and little of a costly peer."""
 
-    def __init__(self, account: Account, is_held: Callable[[], bool]) -> None:
-        """`is_held` tells whether reading is paused for another reason."""
+    def __init__(self, account: Account) -> None:
         self._account = account
-        self._is_held = is_held
         self._costly = False
+        self._go_on_at: asyncio.TimerHandle | None = None  # it rests until then
         self.parts = 0  # of messages, since the last read
 
     def buffer(self) -> memoryview:
@@ -28,13 +26,18 @@
         return READ_BUFFER[:PIECE] if self._costly else self._account.read_buffer()
 
     def read(self, size: int, transport: asyncio.ReadTransport) -> None:
-        """So many bytes have been taken up."""
+        """So many bytes have been taken up, of a connection whose reading is not paused."""
         self._costly = size >= READ_LEAST and self.parts * PART_LEAST > size
         self.parts = 0
         if self._costly and not transport.is_closing():
             transport.pause_reading()
-            asyncio.get_running_loop().call_later(REST, self._go_on, transport)
+            self._go_on_at = asyncio.get_running_loop().call_later(REST, self._go_on, transport)
+
+    def rests(self) -> bool:
+        """Whether it is not read for a while."""
+        return self._go_on_at is not None
 
     def _go_on(self, transport: asyncio.ReadTransport) -> None:
-        if not self._is_held() and not transport.is_closing():
+        self._go_on_at = None
+        if not transport.is_closing():
             transport.resume_reading()
--- a/lugspur/process.py
+++ b/lugspur/process.py
@@ -186,6 +186,7 @@
 
 def main() -> int:
     """Run with the configuration that the environment names."""
+    signals.hold()
     logging.basicConfig(handlers=[AtOnceHandler()], level=logging.WARNING)
     try:
         config = load(os.environ)
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import weakref
 from contextlib import suppress
 
 import pytest
@@ -350,22 +352,33 @@
 
     async def play() -> None:
         account, transport = Account(), Paused()
-        found = CostlyInput(account, lambda: False)
+        found = CostlyInput(account)
         found.parts = parts
         found.read(size, transport)
         assert transport.reading is not costly
+        assert found.rests() is costly
         assert len(found.buffer()) == (PIECE if costly else READ_MOST)
         await until(lambda: transport.reading)
+        assert not found.rests()
 
     asyncio.run(play())
 
 
-def test_a_costly_peer_that_is_throttled_is_not_read_on() -> None:
+def test_a_closed_connection_leaves_no_cycle_to_collect() -> None:
     async def play() -> None:
-        transport = Paused()
-        found = CostlyInput(Account(), lambda: True)
-        transport.pause_reading()
-        found._go_on(transport)
-        assert not transport.reading
+        async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            assert status(await client.ask(book(1, body=b"x" * 3000))) == 200
+            [caller] = up.proxy.front.callers
+            gone = weakref.ref(caller)
+            del caller
+            gc.collect()
+            gc.disable()
+            try:
+                client.writer.transport.abort()
+                await until(lambda: not up.proxy.front.callers)
+                await until(lambda: gone() is None)
+            finally:
+                gc.enable()
 
     asyncio.run(play())
