--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -271,6 +271,8 @@
     def on_message_begin(self) -> None:
         self._begin()
         if self.exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
+            trace.record("backend.unasked", to=self._to[0],
+                         rested=round(self._upstream.now() - self.idle_since, 4))
             self.abandon("an answer that nobody asked for")
 
     def on_header(self, name: bytes, value: bytes) -> None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -509,6 +509,8 @@
 
     def answering(self, call: Call, exchange: Exchange) -> None:
         """A sound answer has begun to come in: no other attempt is begun meanwhile."""
+        trace.record("answer.begun", id=call.name, n=exchange.number,
+                     left=round(call.deadline - self._loop.time(), 3))
         self._perform(self._decide(self._balancer.answering, call.rid, exchange.number))
 
     def pass_on(
@@ -520,6 +522,8 @@
             exchange.end(Outcome.CANCELLED, reason="another attempt, or nobody waits")
             return None
         call.passing = True
+        trace.record("answer.passed_on", id=call.name, n=exchange.number, bytes=len(response.body),
+                     length=response.length, left=round(call.deadline - self._loop.time(), 3))
         if call.timer is not None:
             call.timer.cancel()
         caller.begin(exchange, response)
