An answer that is not long ends by its request's time, and a slow one is raced by another server

Callers saw: a 200 passed on at its request's time and cut 8 s later, or never ended (a byte each 50 ms, in chunks, without a length, in trailers); safe requests unserved though three of four servers were sound. Change: jaspershelf/transfer_pace.py decides. `Balancer.slow`: where the class may run twice, one more attempt is sent beside an answer that is silent (0.4 s) or comes at under 32 KiB/s, once it is overdue by its class's latency or 0.7 of its time is up, within SecondCopies, MaxAttempts, the retry budget and the window; the first is kept. The check request_overdue judges passed-on answers. Two faults in one commit, as the limit and the copy share the pace.

--- a/jaspershelf/decide.py
+++ b/jaspershelf/decide.py
@@ -97,6 +97,7 @@
 REST_AFTER = 2  # attempts in a row without a connection after which a server rests...
 REST, REST_MOST = 1.0, 8.0  # ...so many seconds, doubling
 OVERDUE = 3.0  # times its class's current latency that an attempt is out before a second copy is sent
+SLOW_PART = 0.7  # of a request's time, after which one is sent beside a slow answer in any case
 
 SUBSCRIBE = 1  # timer token; those above it are second copies that fall due
 
@@ -844,7 +845,7 @@
         self.pool_of[request.kind].sent.add(now)
         request.attempts.append(attempt)
         request.open += 1
-        within = request.until - now if request.until < request.deadline else 0.0
+        within = request.until - now if now < request.until < request.deadline else 0.0
         out.append(Send(request.id, server.row.server, within))
         self._watch(now, request, out)
         return True
@@ -855,12 +856,9 @@
         Guards against attempts that hang: connections that fall silent, answers that stop half-way, servers
         that stand still. Could harm in an overload, where all are late: then none are sent (see `timer`).
         """
-        kind = self.settings.classes[request.kind]
-        if request.patience is not None:  # its body goes one way at a time
+        if not self._may_copy(request):
             return
         due = now + OVERDUE * self.class_latency[request.kind]
-        if not self.settings.limits.second_copies or kind.repeat is Repeat.UNSAFE or kind.streaming:
-            return
         if now < due < request.until:
             self.token += 1
             self.copies[self.token] = request.id, len(request.attempts)
@@ -939,7 +937,9 @@
 
     def _again(self, now: float, request: Request, out: list[Action]) -> bool:
         """Try a further attempt within the rules and the retry budget."""
-        if request.done or request.bound or now >= request.until or not self.budget.allows(now):
+        # Beside a slow answer it may come late: no answer at all is worse.
+        until = request.deadline if request.is_slow() else request.until
+        if request.done or request.bound or now >= until or not self.budget.allows(now):
             return False
         if len(request.attempts) >= self.settings.limits.max_attempts:
             return False
@@ -1077,12 +1077,44 @@
         server.rests_until = now + min(REST_MOST, REST * 2.0 ** (server.unreached - 1))
 
     def answering(self, _: float, rid: RequestId, number: int) -> list[Action]:
-        """A sound answer has begun to come in: no second copy is sent while it does."""
+        """A sound answer has begun to come in: no second copy is sent unless it is slow."""
         request = self.requests.get(rid)
         if request is not None and 0 <= number < len(request.attempts):
             request.attempts[number].answering = True
         return []
 
+    def slow(self, now: float, rid: RequestId, number: int) -> list[Action]:
+        """The answer of an attempt has fallen silent, or comes slowly; to be told again while it does.
+
+        A second copy may be sent beside it, which is kept: the answer that is whole first serves.
+        """
+        request = self.requests.get(rid)
+        out: list[Action] = []
+        if request is None or request.done or not 0 <= number < len(request.attempts):
+            return out
+        attempt = request.attempts[number]
+        attempt.slow = attempt.open
+        alone = request.open == 1 and attempt.open
+        if alone and self._may_copy(request) and self._is_overdue(now, request, attempt):
+            self._again(now, request, out)
+        return out
+
+    def _may_copy(self, request: Request) -> bool:
+        """Whether its class allows a second copy, and it has come whole."""
+        kind = self.settings.classes[request.kind]
+        repeatable = kind.repeat is not Repeat.UNSAFE and not kind.streaming
+        return self.settings.limits.second_copies and repeatable and request.patience is None
+
+    def _is_crowded(self) -> bool:
+        """Whether all answers are late, or too few are known to tell."""
+        return self.paced < PACED or self.pooled > COPY_BASE * self.base
+
+    def _is_overdue(self, now: float, request: Request, attempt: Attempt) -> bool:
+        """Whether a slow answer is late by its class's latency, or by its request's time."""
+        usual = self.class_latency[request.kind]
+        late = usual > 0.0 and not self._is_crowded() and now >= attempt.sent + OVERDUE * usual
+        return late or now >= attempt.sent + SLOW_PART * (request.deadline - attempt.sent)
+
     def begun(self, now: float, rid: RequestId, number: int, latency: float) -> list[Action]:
         """An answer is passed on as it comes: the request belongs to this attempt, and counts as served.
 
@@ -1118,9 +1150,8 @@
         elif token in self.copies:
             rid, number = self.copies.pop(token)
             request = self.requests.get(rid)
-            crowded = self.paced < PACED or self.pooled > COPY_BASE * self.base
-            if request is not None and len(request.attempts) == number and not crowded and (
-                not request.is_answered()
+            if request is not None and len(request.attempts) == number and not (
+                self._is_crowded() or request.is_answered()
             ):
                 self._again(now, request, out)
         return out
--- a/jaspershelf/records.py
+++ b/jaspershelf/records.py
@@ -97,11 +97,12 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("answering", "began", "maybe_ran", "open", "sent", "server")
+    __slots__ = ("answering", "began", "maybe_ran", "open", "sent", "server", "slow")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
-        self.answering = False  # a sound answer to it has begun to come in
+        self.answering = False  # a sound answer to it has begun to come in...
+        self.slow = False  # ...and has fallen silent, or comes slowly
         self.began = False  # its answer is passed on as it comes: how it was served is known already
         self.sent = sent
         self.open = True
@@ -135,6 +136,9 @@
         """The first attempt that may have run, or may be running."""
         return next((a for a in self.attempts if a.maybe_ran), None)
 
+    def is_slow(self) -> bool:
+        """Whether the answers of all attempts that are out have begun, and are silent or slow."""
+        return self.open > 0 and all(attempt.slow for attempt in self.attempts if attempt.open)
 
     def is_answered(self) -> bool:
         """Whether a sound answer to it is coming in."""
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -151,9 +151,13 @@
         """Bytes of what was written that the socket has not taken yet."""
         return self._transport.get_write_buffer_size()
 
+    def moved_bytes(self) -> int:
+        """Bytes of the request that the socket has taken."""
+        return self._handed - self.unsent()
+
     def count_bytes(self, exchange: Exchange) -> None:
         """Note how much of the request has gone out, and how much has come."""
-        exchange.request_size = self._handed - self._transport.get_write_buffer_size()
+        exchange.request_size = self.moved_bytes()
         exchange.answer_size = self._received
 
     def _look_out(self) -> None:
@@ -257,6 +261,8 @@
         if self.exchange is None:
             self._answer_held.set(0)
             return
+        if self.exchange.pace is not None:
+            self.exchange.pace.came(self._upstream.now(), self._size)
         self._answer_held.set(len(self._head) + len(self._body) + self._head_size)
         if self._head_size > ANSWER_HEAD_MOST or self._header_count > HEADERS_MOST:  # Guards memory and time.
             trace.record("backend.endless", to=self._to[0], id=self.exchange.name)
@@ -302,8 +308,11 @@
 
     def _note_sound(self) -> None:
         """Only a served answer is worth more than its time to begin, and only to a request that is out."""
-        if self.exchange is not None and self.written and self._parser.get_status_code() == 200:
-            self.exchange.answer()
+        exchange = self.exchange
+        if exchange is not None and self.written and self._parser.get_status_code() == 200:
+            exchange.answer()
+            if exchange.pace is not None:
+                exchange.pace.told_long = (self._length or 0) > HELD_MOST
 
     def _is_stray(self) -> bool:
         """Whether this is rather a second answer to the request before, some milliseconds late.
@@ -327,10 +336,10 @@
         if exchange is None:
             return
         self._head_size = 0
+        self._size += len(body)
         if exchange.pass_on is not None:
             self._body += body
             return
-        self._size += len(body)
         if self._parser.get_status_code() != 200:
             return  # an error's text serves nobody
         self._body += body
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -19,6 +19,9 @@
     def answering(self, call: Call, exchange: Exchange) -> None:
         """A sound answer has begun to come in."""
 
+    def slow(self, call: Call, exchange: Exchange) -> None:
+        """That answer has fallen silent, or comes slowly."""
+
     def pass_on(
         self, call: Call, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
@@ -77,6 +80,15 @@
         """A sound answer has begun to come in."""
         self._owner.answering(self, exchange)
 
+    def slow(self, exchange: Exchange) -> None:
+        """That answer has fallen silent, or comes slowly."""
+        self._owner.slow(self, exchange)
+
+    def may_go_on(self) -> bool:
+        """Whether an answer that is passed on may come in past its time."""
+        passing = (row for row in self.exchanges if row.open and row.pass_on is not None)
+        return any(exchange.paused or exchange.may_go_on() for exchange in passing)
+
     def unsent(self) -> int:
         """Bytes of its answer that its caller has not taken yet."""
         return self.caller.unsent() if self.caller is not None else 0
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -9,15 +9,18 @@
 from typing import TYPE_CHECKING, Protocol
 
 from jaspershelf.model import Outcome
+from jaspershelf.transfer_pace import AnswerPace, Headway
 from lugspur.body import Body
 
 if TYPE_CHECKING:
     from lugspur.backend_connection import Backend, Connection
 
-STALLED = 8.0  # seconds after which a transfer is given up that a backend does not carry on...
-STUCK = 30.0  # ...or for which its caller makes no room: a slow one may empty a full socket in 20
+STALLED = 8.0  # seconds in which a backend has to carry a transfer on by a step...
+STUCK = 30.0  # ...or its caller has to make room for one: a slow one may empty a full socket in 20
 HEADWAY_EVERY = 1.0  # seconds between looks at a transfer
+PACE_EVERY = 0.1  # seconds between looks at an answer that is not long yet
 SILENT_MOST = 2.0  # seconds of its server's silence after which an answer no longer counts as coming in
+WHOLE_BY = 0.3  # seconds after a request's time by which a short answer has to be whole: at 0.5 it is lost
 
 
 @dataclass(slots=True)
@@ -39,6 +42,9 @@
     def answering(self, exchange: Exchange) -> None:
         """A sound answer has begun to come in."""
 
+    def slow(self, exchange: Exchange) -> None:
+        """That answer has fallen silent, or comes slowly; told again while it does."""
+
     def begun(self, exchange: Exchange, response: Response) -> Callable[[bytes], None] | None:
         """An answer is passed on from here; where the rest of it goes, or None if nobody wants it."""
 
@@ -53,9 +59,9 @@
     """One attempt on the wire: from its start to its one outcome."""
 
     __slots__ = (
-        "answer_size", "answering", "backend", "body", "connection", "dial", "head", "name", "number", "once",
-        "open", "outcome", "pass_on", "paused", "reason", "request_size", "started", "until", "_client",
-        "_loop", "_moved", "_timer", "_unsent",
+        "_client", "_headway", "_loop", "_moved", "_timer", "answer_size", "backend", "body", "connection",
+        "deadline", "dial", "head", "name", "number", "once", "open", "outcome", "pace", "pass_on", "paused",
+        "reason", "request_size", "started", "until",
     )
 
     def __init__(
@@ -67,7 +73,8 @@
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which the first byte of its answer is waited for
-        self.answering = False  # a sound answer is coming in
+        self.deadline = math.inf  # its request's time, in the loop's
+        self.pace: AnswerPace | None = None  # of a sound answer that is coming in
         self.head = head  # the request's head, given the seconds that are left
         self.body = body
         self.once = once  # it must not run twice, or can't be sent again, so a reset is its end
@@ -83,7 +90,7 @@
         self._client = client
         self._loop = asyncio.get_running_loop()
         self._moved = 0.0  # when a transfer last made headway
-        self._unsent = 0  # bytes that waited to be taken at the last look
+        self._headway = Headway(0.0)
         self._timer: asyncio.TimerHandle | None = None
 
     def end(self, outcome: Outcome, response: Response | None = None, reason: str = "") -> None:
@@ -120,9 +127,13 @@
 
     # ---- how long it may take -----------------------------------------------------------------
 
-    def limit(self, until: float) -> None:
-        """Wait until then for its answer to begin; with no end while its request is still coming in."""
-        if not self.open or self.answering:
+    def limit(self, until: float, deadline: float) -> None:
+        """Wait until then for its answer to begin; with no end while its request is still coming in.
+
+        `deadline` is its request's time.
+        """
+        self.deadline = deadline
+        if not self.open or self.pace is not None:
             return
         self._unlimit()
         self.until = until
@@ -132,35 +143,40 @@
             self._timer = self._loop.call_at(until, self.expire, "nothing came in its time")
 
     def answer(self) -> None:
-        """A sound answer has begun to come in: it may take its request's time while it makes headway."""
-        if self.answering:
+        """A sound answer has begun to come in: it may take its request's time, and more at a pace."""
+        if self.pace is not None:
             return
-        self.answering = True
+        self.pace = AnswerPace(self._loop.time())
         self._begin_checks()
         self._client.answering(self)
 
     def is_coming_in(self) -> bool:
         """Whether a part of a sound answer has come, and its server has not fallen silent."""
         silent = self._loop.time() - self._moved
-        return self.answering and self.connection is not None and (
+        return self.pace is not None and self.connection is not None and (
             self.connection.has_body() and silent <= SILENT_MOST)
 
     def carry_on(self) -> bool:
-        """Pass on what has come, and the rest as it comes; not what is known to stay short."""
-        if self.connection is None or self.connection.is_short():
+        """Pass on what has come, and the rest as it comes, of an answer that is long or will be."""
+        if self.connection is None or self.connection.is_short() or not self.may_go_on():
             return False
         self.connection.pass_on()
         return self.pass_on is not None
 
+    def may_go_on(self) -> bool:
+        """Whether its answer may come in past its request's time."""
+        return self.pace is not None and self.pace.may_be_long(self._loop.time(), self.deadline)
+
     def begin(self, response: Response) -> None:
-        """The answer is passed on from here, however long it takes."""
-        self.answering = True
+        """The answer is passed on from here, at the pace that it has to keep."""
+        if self.pace is None:
+            self.pace = AnswerPace(self._loop.time())
         self.pass_on = self._client.begun(self, response)
         if self.open:
             self._begin_checks()
 
     def moved(self) -> None:
-        """A transfer has made headway."""
+        """A byte has come or gone."""
         self._moved = self._loop.time()
 
     def hold(self, paused: bool) -> None:
@@ -169,31 +185,55 @@
         if self.connection is not None:
             self.connection.hold(paused)
             self.moved()
+            self._headway = Headway(self._loop.time(), self._moved_bytes())
 
     def _begin_checks(self) -> None:
         self._unlimit()
         self.moved()
-        self._unsent = 0
+        self._headway = Headway(self._loop.time(), self._moved_bytes())
         self._check()
 
     def _check(self) -> None:
-        """End a transfer that has come to a stand: its buffers and descriptors serve nobody."""
-        unsent = self._unsent_now()
-        if not self.answering and not unsent:
-            self.moved()  # it waits for its caller's next bytes, or for the dial: both have their own limits
-        elif unsent < self._unsent:
-            self.moved()  # a slow reader takes a large buffer bit by bit
-        self._unsent = unsent
-        now, due = self._loop.time(), self._moved + (STUCK if self.paused else STALLED)
+        """End a transfer that does not go on: its request is owed an answer, its buffers serve nobody."""
+        now = self._loop.time()
+        if self._is_over(now):
+            self.expire("its answer did not come whole, or at its pace, by its request's time")
+            return
+        if self.pace is None and not self._unsent():
+            # It waits for its caller's next bytes, or for the dial: both have their own limits.
+            self._headway = Headway(now, self._moved_bytes())
+        is_held = self.pace is not None and self.pass_on is None
+        if is_held:  # its request's time is its limit
+            due = self._moved + STALLED
+        else:
+            due = self._headway.due(now, self._moved_bytes(), STUCK if self.paused else STALLED)
         if now >= due:
             self.expire("its transfer came to a stand")
-        else:
-            self._timer = self._loop.call_at(min(due, now + HEADWAY_EVERY), self._check)
+            return
+        every = PACE_EVERY if is_held or self._is_short_so_far() else HEADWAY_EVERY
+        self._timer = self._loop.call_at(min(due, now + every), self._check)
+        if is_held and self.pace is not None and self.pace.is_slow(now):
+            self._client.slow(self)
+
+    def _is_short_so_far(self) -> bool:
+        return self.pace is not None and not self.pace.is_long()
 
-    def _unsent_now(self) -> int:
-        """Bytes that wait for who reads slowly: the caller an answer, or the server its request."""
+    def _is_over(self, now: float) -> bool:
+        """Whether an answer that is not long has had its time."""
+        if self.pace is None or self.paused:
+            return False
+        if self.pass_on is None:  # whoever waits for it ends it, or passes it on, before
+            return now > self.deadline + WHOLE_BY + PACE_EVERY
+        return now >= self.deadline and not self.may_go_on()
+
+    def _moved_bytes(self) -> int:
+        """Bytes that have come to where they go: an answer's to its caller, a request's out."""
         if self.pass_on is not None:
-            return self._client.unsent()
+            return (self.pace.size if self.pace is not None else 0) - self._client.unsent()
+        return self.connection.moved_bytes() if self.connection is not None else 0
+
+    def _unsent(self) -> int:
+        """Bytes of the request that its server does not take."""
         return self.connection.unsent() if self.connection is not None else 0
 
     def _unlimit(self) -> None:
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -25,14 +25,14 @@
 from jaspershelf.overload import MemoryOverload
 from jaspershelf.reconnect import ReconnectBackoff
 from jaspershelf.request_ids import Standing
-from lugspur import discovery
+from lugspur import discovery, request_trace
 from lugspur.admin import Admin, Route, page
 from lugspur.backend_list import BackendList
 from lugspur.call import Call
 from lugspur.caller import Caller
 from lugspur.config import Address, Config
 from lugspur.events import log
-from lugspur.exchange import Exchange, Response
+from lugspur.exchange import PACE_EVERY, WHOLE_BY, Exchange, Response
 from lugspur.front import Front
 from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.invariants import Invariants
@@ -56,7 +56,6 @@
 
 SPARE_SOCKETS = 48  # descriptors for the listeners, discovery, the loop, operators, callers beyond the limit
 CALLERS_PART = 0.5  # of the other descriptors
-WHOLE_BY = 0.3  # seconds after a request's time by which a short answer has to be whole: at 0.5 it is lost
 OVERLAP = 10.0  # seconds after its start in which the process before may still run: 6 to get ready, 4 to end
 KNOWN_AFTER = 1.0  # seconds without a word from discovery after which the list known at the start serves...
 KNOWN_MOST = 4.8  # ...or so many where discovery has accepted the call and may still answer it
@@ -373,7 +372,7 @@
         self._date(call)
         self._perform(self._decide(self._balancer.arrived, call.rid, call=call))
         for exchange in call.exchanges:
-            exchange.limit(call.deadline)
+            exchange.limit(call.deadline, call.deadline)
 
     def _gone(self, call: Call) -> None:
         trace.record("request.client_left", id=call.name, attempts=len(call.exchanges))
@@ -388,7 +387,7 @@
         """The client's time is up: an answer is owed now, whatever the module says."""
         if call.deadline == math.inf:  # its last byte may have come, and has not been read
             call.deadline = self._loop.time()
-        elif self._carries_on(call):
+        elif not call.passing and self._carries_on(call):
             return
         call.reason = "its time is up"
         self._decide(self._balancer.expire, call.rid)
@@ -401,10 +400,13 @@
         """Whether an answer that is coming in is passed on, or may still come whole before it is lost."""
         latest, now = call.deadline + WHOLE_BY, self._loop.time()
         coming = [exchange for exchange in call.exchanges if exchange.is_coming_in()]
-        if call.caller is None or latest > self.front.until or now >= latest or not coming:
+        if call.caller is None or latest > self.front.until or not coming:
             return False
-        if not any(exchange.carry_on() for exchange in coming):
-            call.timer = self._loop.call_at(latest, self._overdue, call)
+        if any(exchange.carry_on() for exchange in coming):
+            return True
+        if now >= latest:
+            return False
+        call.timer = self._loop.call_at(min(latest, now + PACE_EVERY), self._overdue, call)
         return True
 
     def _abandon(self, call: Call) -> None:
@@ -420,8 +422,7 @@
         self._settle(call)
         if caller is None:
             return
-        trace.record("request.answered", id=call.name, status=status, reason=call.reason,
-                     attempts=len(call.exchanges))
+        request_trace.request_answered(call, status)
         if call.passing:
             caller.cut()
         else:
@@ -491,7 +492,8 @@
             call.request.body, unsafe or not call.request.body.whole,
         )
         exchange.name = call.name
-        self._trace_attempt(call, exchange, action)
+        exchange.deadline = call.deadline
+        request_trace.attempt_chosen(call, exchange, discovery.server_name(action.server))
         call.exchanges.append(exchange)
         try:
             self._upstream.start(exchange)
@@ -499,20 +501,15 @@
             exchange.broke("a fault here")  # Guards the request: the module waits for how this attempt ends.
             raise
 
-    def _trace_attempt(self, call: Call, exchange: Exchange, action: Send) -> None:
-        reason = "first"
-        if call.exchanges:
-            hedged = any(earlier.open for earlier in call.exchanges)
-            reason = "hedged" if hedged else f"retry after {call.last.value}"
-        trace.record("attempt.chosen", id=call.name, n=exchange.number, reason=reason,
-                     server=discovery.server_name(action.server))
-
     def answering(self, call: Call, exchange: Exchange) -> None:
-        """A sound answer has begun to come in: no other attempt is begun meanwhile."""
-        trace.record("answer.begun", id=call.name, n=exchange.number,
-                     left=round(call.deadline - self._loop.time(), 3))
+        """A sound answer has begun to come in."""
+        request_trace.answer_begun(call, exchange, self._loop.time())
         self._perform(self._decide(self._balancer.answering, call.rid, exchange.number))
 
+    def slow(self, call: Call, exchange: Exchange) -> None:
+        """That answer has fallen silent, or comes slowly: another server may be asked."""
+        self._perform(self._decide(self._balancer.slow, call.rid, exchange.number))
+
     def pass_on(
         self, call: Call, exchange: Exchange, response: Response
     ) -> Callable[[bytes], None] | None:
@@ -522,8 +519,7 @@
             exchange.end(Outcome.CANCELLED, reason="another attempt, or nobody waits")
             return None
         call.passing = True
-        trace.record("answer.passed_on", id=call.name, n=exchange.number, bytes=len(response.body),
-                     length=response.length, left=round(call.deadline - self._loop.time(), 3))
+        request_trace.answer_passed_on(call, exchange, response, self._loop.time())
         if call.timer is not None:
             call.timer.cancel()
         caller.begin(exchange, response)
@@ -540,10 +536,7 @@
         self, call: Call, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over: answer with what it brought, and tell the module."""
-        trace.record(
-            "attempt.ended", id=call.name, n=exchange.number, outcome=outcome.value, reason=exchange.reason,
-            request_bytes=exchange.request_size, answer_bytes=exchange.answer_size,
-        )
+        request_trace.attempt_ended(call, exchange, outcome)
         call.last = outcome
         if outcome is Outcome.OK and exchange.pass_on is not None:
             self._finish(call)
--- a/lugspur/proxy_checks.py
+++ b/lugspur/proxy_checks.py
@@ -43,10 +43,10 @@
 
 
 def overdue_calls(calls: Mapping[str, Call], now: float) -> list[Call]:
-    """The requests whose time is up and whose answer is owed: a timer was lost."""
+    """The requests whose time is up and whose answer is owed, passed on or not, unless it is a long one."""
     return [
         call for call in calls.values()
-        if call.wanted() and not call.passing and now > call.deadline + LATE_MOST
+        if call.wanted() and now > call.deadline + LATE_MOST and not (call.passing and call.may_go_on())
     ]
 
 
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -78,7 +78,7 @@
 
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
-        exchange.limit(exchange.until)
+        exchange.limit(exchange.until, exchange.deadline)
         self._after_news(self._connect, exchange)
 
     def _after_news(self, step: Callable[..., None], *args: object, reads: int = READS_MOST) -> None:
--- a/tests/hostile/spoilt_servers.py
+++ b/tests/hostile/spoilt_servers.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from enum import Enum
 
@@ -90,14 +91,21 @@
                 writer.write(whole(request_id(head)))
                 continue
             spoiling = asyncio.ensure_future(write_spoilt(writer, *drawn))
-            await asyncio.wait([spoiling, asyncio.ensure_future(reader.read())],
-                               return_when=asyncio.FIRST_COMPLETED)
-            spoiling.cancel()
+            ended = asyncio.ensure_future(_read_to_the_end(reader))
+            await asyncio.wait([spoiling, ended], return_when=asyncio.FIRST_COMPLETED)
+            for task in (spoiling, ended):
+                task.cancel()
+            await asyncio.gather(spoiling, ended, return_exceptions=True)
             return
 
     return serve
 
 
+async def _read_to_the_end(reader: asyncio.StreamReader) -> None:
+    with suppress(OSError):
+        await reader.read()
+
+
 @dataclass(slots=True)
 class Repeating:
     """Servers that answer with the request's id, and each so many answers a second time."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from pathlib import Path
 
 import pytest
@@ -33,8 +34,12 @@
 ) -> None:
     waits = {f"{kind}.{spoil.value}.{wait}": wait for spoil in Spoil for wait in WAITS for kind in KINDS}
 
+    seen: Counter[str] = Counter()
+
     def draw(request: bytes, _: int) -> tuple[Spoil, Framing]:
-        return Spoil(request_id(request).decode().split(".")[1]), framing
+        name = request_id(request).decode()
+        seen[name] += 1
+        return Spoil(name.split(".")[1]), framing
 
     async def play() -> dict[str, Answer]:
         async with stage(tmp_path, spoilt_answers(draw), None, Setting(services=SHORT_AIMS)) as target:
@@ -47,6 +52,7 @@
     answers = asyncio.run(play())
     assert late(answers, waits) == {}
     assert not [name for name, answer in answers.items() if answer.status == 200], "200 to what never ended"
+    assert not [name for name, count in seen.items() if name.startswith("book") and count > 1]
 
 
 @pytest.mark.parametrize("first", [0, 24])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -325,6 +325,9 @@
     def answering(self, exchange: Exchange) -> None:
         pass
 
+    def slow(self, exchange: Exchange) -> None:
+        pass
+
     def unsent(self) -> int:
         return 0
 
--- /dev/null
+++ b/tests/test_slow_answers.py
@@ -0,0 +1,74 @@
+"""A second copy beside an answer that has begun and is slow: when it is sent, and when never."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from loopback import backend, entry, read, running, soon
+
+from jaspershelf import Balancer, ListKind, Outcome, RequestClass, Send, ServerRow, Settings
+from jaspershelf.model import Group, Limits, Repeat
+from lugspur.exchange import Exchange
+from lugspur.proxy_checks import LATE_MOST, overdue_calls
+
+SAFE = RequestClass(name="r", aim=0.5, deadline=2.0, repeat=Repeat.SAFE)
+KEYED = replace(SAFE, repeat=Repeat.KEYED, group=Group.ALL, window=1.5)
+LIMITS = Limits(cancel=True, second_copies=True, max_attempts=3)
+
+
+def sent(kind: RequestClass, limits: Limits = LIMITS) -> Balancer:
+    """A balancer with one request, `r`, out since 10.0 at a server that has begun to answer."""
+    balancer = Balancer(Settings(classes=(kind,), limits=limits), seed=1)
+    balancer.members(0.0, ListKind.WHOLE, [ServerRow(server=n) for n in range(4)])
+    balancer.start(0.0)
+    [send] = balancer.request(10.0, "r", deadline=12.0)
+    assert isinstance(send, Send)
+    assert balancer.answering(10.1, "r", 0) == []
+    return balancer
+
+
+@pytest.mark.parametrize(("kind", "at", "copies"), [
+    (SAFE, 11.0, 0), (SAFE, 11.5, 1), (KEYED, 11.4, 0), (replace(KEYED, window=2.0), 11.5, 1),
+    (replace(SAFE, repeat=Repeat.UNSAFE), 11.9, 0), (replace(SAFE, streaming=True), 11.9, 0), (SAFE, 12.1, 0),
+])
+def test_a_copy_is_sent_beside_a_slow_answer_where_the_request_may_run_twice(
+    kind: RequestClass, at: float, copies: int
+) -> None:
+    actions = sent(kind).slow(at, "r", 0)
+    assert len(actions) == copies and all(isinstance(action, Send) for action in actions)
+
+
+def test_the_limits_hold_for_it() -> None:
+    assert sent(SAFE, replace(LIMITS, second_copies=False)).slow(11.5, "r", 0) == []
+    assert sent(SAFE, replace(LIMITS, max_attempts=1)).slow(11.5, "r", 0) == []
+
+
+def test_one_copy_is_out_at_a_time_and_another_follows_where_it_fails() -> None:
+    balancer = sent(SAFE)
+    assert len(balancer.slow(11.5, "r", 0)) == 1 and balancer.slow(11.6, "r", 0) == []
+    assert balancer.outcome(11.7, "r", 1, Outcome.ERROR, 0.2) == [], "the slow one is kept"
+    assert len(balancer.slow(11.8, "r", 0)) == 1
+    assert balancer.slow(11.8, "unknown", 0) == balancer.slow(11.8, "r", 7) == []
+
+
+def test_an_answer_that_is_passed_on_and_not_long_is_overdue_too(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Exchange, "_is_over", lambda self, now: False)  # the timer that ends it is lost
+
+    async def play() -> None:
+        answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3a98\r\n" + bytes(15_000) + b"\r\n"
+        async with backend(lambda _: answer) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(read(timeout="0.1"))
+            await soon(client.reader.readuntil(b"\r\n\r\n"))
+            [call] = up.proxy._calls.values()
+            assert call.passing
+            await asyncio.sleep(0.5)
+            now = call.deadline + LATE_MOST
+            assert overdue_calls(up.proxy._calls, now + 0.1) == [call]
+            assert overdue_calls(up.proxy._calls, now - 0.1) == []
+            up.proxy._repair()
+            assert not up.proxy._calls, "and is ended"
+
+    asyncio.run(play())
