An answer that is whole before its request's last byte was written serves nobody

Callers saw: 200 with a body that no server can have made for the request, where a server answered (or repeated an answer) while a large body was still on its way. Cause: only answers that are passed on were checked for it (`Connection.pass_on`), not short ones (`_complete`). Change: such an answer breaks the attempt; it never ran, so another server may have it.

--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -26,6 +26,7 @@
 ANSWER_HEAD_MOST = 64 << 10  # bytes of an answer's head, and of what stands between the parts of its body
 HEADERS_MOST = 200  # of one head: each costs time
 SPENT = httptools.HttpResponseParser(object())  # in place of one whose connection reads no more
+BEFORE_REQUEST = "an answer before its request was written"
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -360,7 +361,7 @@
         if exchange is None or exchange.pass_on is not None:
             return
         if not self.written:  # Guards what is still to be sent: this answers no request.
-            exchange.broke("an answer before its request was written")
+            exchange.broke(BEFORE_REQUEST)
             return
         beginning = self._response()
         self._body.clear()
@@ -387,6 +388,9 @@
         exchange, status = self.exchange, self._parser.get_status_code()
         if exchange is None:
             return
+        if status == 200 and not self.written:  # its server can't have had the request
+            exchange.broke(BEFORE_REQUEST)
+            return
         self._pass_on_rest()
         self._answered = self._upstream.now()
         if exchange.paused:
