A second answer that comes late serves nobody: connections rest, and are acknowledged, until a server is known

Callers saw: 200 with the body of another request, dozens in a row, where servers gave an answer a second time 2 to 9 ms after the first. Change: jaspershelf/repeated_answers.py decides. What has come is acknowledged at once as a connection begins to rest. A connection whose answer came right after another and in under half the usual time is not kept: no run. The guard by the quickest time takes 0.9 of it. Tests: test_proxy's `the_most_recent_connection_is_used` now lets both its connections rest first, as the rule is the most recent one that has rested; its assertions are unchanged. The stand-ins of loopback.py end their connections: writers that outlived their loop made pytest itself fail (SystemError in ast.parse) when they were collected there.

--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -5,11 +5,14 @@
 import asyncio
 import math
 import select
+import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import httptools
 
 from jaspershelf.model import Outcome
+from jaspershelf.repeated_answers import RepeatedAnswers
 from lugspur.body import HELD_MOST
 from lugspur.config import Address
 from lugspur.events import log
@@ -21,7 +24,7 @@
     from lugspur.upstream import Upstream
 
 STRAY_WITHIN = 0.01  # seconds after an answer in which a second one may come on its connection...
-STRAY_PART = 0.5  # ...told from a next request's own by coming in under this part of the quickest time...
+STRAY_PART = 0.9  # ...told from a next request's own by coming in under this part of the quickest time...
 STRAYS_MOST = 2  # ...but for so many in a row: more tell of a backend that has become quicker
 ANSWER_HEAD_MOST = 64 << 10  # bytes of an answer's head, and of what stands between the parts of its body
 HEADERS_MOST = 200  # of one head: each costs time
@@ -35,9 +38,9 @@
 
 
 class Backend:
-    """One backend of the list and the idle connections to it, the most recently used last."""
+    """One backend of the list and the idle connections to it, the last released last."""
 
-    __slots__ = ("address", "doubts", "idle", "in_service", "quickest", "started")
+    __slots__ = ("address", "doubts", "idle", "in_service", "quickest", "repeats", "started")
 
     def __init__(self, address: Address) -> None:
         self.address = address
@@ -46,6 +49,7 @@
         self.idle: list[Connection] = []
         self.quickest = math.inf  # seconds from a request's writing to the head of its answer, at the least
         self.doubts = 0  # answers in a row that were taken for stray ones
+        self.repeats = RepeatedAnswers()
 
     def process(self) -> tuple[Address, float]:
         """Which process the list names now: where it listens, and when it started."""
@@ -84,6 +88,7 @@
         self._in_chunks = False
         self._unseen = False
         self._in_body = False  # the headers are complete, and the message is not
+        self._early = False  # it may be a second answer to the request before
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -185,6 +190,16 @@
         else:
             self._transport.resume_reading()
 
+    def rest(self) -> None:
+        """Nothing more is expected on it for now.
+
+        Acknowledges what has come at once: a server whose socket collects small writes holds back a second
+        answer until then, and else it would come with the acknowledgement that the next request carries.
+        """
+        self.idle_since = self._upstream.now()
+        with suppress(OSError):
+            self._transport.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, 1)
+
     def usable(self) -> bool:
         """Whether it can carry another exchange: it is open, to the process that the list names now."""
         return not self._transport.is_closing() and self._to == self.backend.process()
@@ -278,8 +293,7 @@
     def on_message_begin(self) -> None:
         self._begin()
         if self.exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
-            trace.record("backend.unasked", to=self._to[0],
-                         rested=round(self._upstream.now() - self.idle_since, 4))
+            self._note_repeat("an answer that nobody asked for")
             self.abandon("an answer that nobody asked for")
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -301,12 +315,31 @@
     def on_status(self, _: bytes) -> None:
         self._note_sound()
 
+    def _note_repeat(self, reason: str) -> None:
+        now = self._upstream.now()
+        rested = now - self._answered
+        trace.record("backend.repeated", to=self._to[0], reason=reason, rested=round(rested, 4))
+        self.backend.repeats.repeated(now)
+
     def on_headers_complete(self) -> None:
         self._in_body = True
-        if self.exchange is not None and self._parser.get_status_code() == 200 and self._is_stray():
-            self.exchange.broke("a second answer to the request before")
+        status = self._parser.get_status_code()
+        if self.exchange is not None and status >= 200:
+            self._look_for_repeat(status)
         self._note_sound()  # a status line may have no text
 
+    def _look_for_repeat(self, status: int) -> None:
+        """End an attempt whose answer is the one before again; don't keep its connection where it may be."""
+        now, repeats = self._upstream.now(), self.backend.repeats
+        self._early = repeats.is_early(now - self._answered, now - self._sent)
+        if status != 200:  # an error may come sooner than any answer
+            return
+        if self._is_stray() and self.exchange is not None:
+            self._note_repeat("sooner than it ever answered")
+            self.exchange.broke("a second answer to the request before")
+            return
+        repeats.answered(now - self._sent)
+
     def _note_sound(self) -> None:
         """Only a served answer is worth more than its time to begin, and only to a request that is out."""
         exchange = self.exchange
@@ -318,8 +351,7 @@
     def _is_stray(self) -> bool:
         """Whether this is rather a second answer to the request before, some milliseconds late.
 
-        Guards the next request, if it was written in between: it would be served with another's answer. To
-        rest connections for so long instead was tried: under load it costs far more (docs/ROADMAP.md). Of a
+        Guards the next request, if it was written in between: it would be served with another's answer. Of a
         backend that has ever answered as quickly as that nothing can be told.
         """
         now, backend = self._upstream.now(), self.backend
@@ -388,6 +420,7 @@
         exchange, status = self.exchange, self._parser.get_status_code()
         if exchange is None:
             return
+        self._look_out()  # it may cross the word that all is out
         if status == 200 and not self.written:  # its server can't have had the request
             exchange.broke(BEFORE_REQUEST)
             return
@@ -396,7 +429,7 @@
         if exchange.paused:
             self.hold(False)
         response = self._response()
-        if self.written and keep_alive and self.usable():
+        if self.written and keep_alive and self.usable() and not self._early:
             self.count_bytes(exchange)
             self.exchange = exchange.connection = None
             self._upstream.release(self)
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -61,7 +61,7 @@
     __slots__ = (
         "_client", "_headway", "_loop", "_moved", "_timer", "answer_size", "backend", "body", "connection",
         "deadline", "dial", "head", "name", "number", "once", "open", "outcome", "pace", "pass_on", "paused",
-        "reason", "request_size", "started", "until",
+        "reason", "request_size", "safe", "started", "until",
     )
 
     def __init__(
@@ -78,6 +78,7 @@
         self.head = head  # the request's head, given the seconds that are left
         self.body = body
         self.once = once  # it must not run twice, or can't be sent again, so a reset is its end
+        self.safe = not once  # its request may simply be repeated
         self.open = True
         self.outcome: Outcome | None = None  # None while it is open
         self.connection: Connection | None = None
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -86,6 +86,7 @@
         self._holds = config.settings.discovery is Discovery.PUSHED and bool(config.known["endpoints"])
         self._count = 0
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
+        self._safe = [row.repeat is Repeat.SAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
         self._overload = MemoryOverload(config.memory)
@@ -493,6 +494,7 @@
         )
         exchange.name = call.name
         exchange.deadline = call.deadline
+        exchange.safe = self._safe[call.facts.kind]
         request_trace.attempt_chosen(call, exchange, discovery.server_name(action.server))
         call.exchanges.append(exchange)
         try:
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -10,6 +10,7 @@
 from itertools import islice
 
 from jaspershelf.model import Outcome
+from jaspershelf.repeated_answers import REST, RepeatedAnswers
 from lugspur.backend_connection import Backend, Connection
 from lugspur.config import Address
 from lugspur.event_loop import EventLoop
@@ -72,6 +73,8 @@
         moved = backend.address != address or backend.started != started
         backend.address, backend.started, backend.in_service = address, started, in_service
         # Guards against requests on connections to a process or a place that is no more.
+        if moved:
+            backend.repeats = RepeatedAnswers()
         if moved or not in_service:
             for connection in tuple(backend.idle):
                 self._drop(connection, "its server moved" if in_service else "its server is withdrawn")
@@ -104,10 +107,12 @@
         if not exchange.backend.in_service:  # by news that was waited for: a dial would be in vain
             self._loop.call_soon(exchange.end, Outcome.VOID, None, "its server is withdrawn")
             return
-        connection = self._idle_connection(exchange)
+        connection = self._rested_connection(exchange)
         if connection is not None:
             self._transmit(exchange, connection)
             return
+        if self._wait_for_rest(exchange):
+            return
         if self._dialling + self._connected >= self._most:
             # Guards the limit on sockets: idle ones make room, else it never ran and may go elsewhere.
             if not self._idle:
@@ -116,19 +121,61 @@
             self._drop(next(iter(self._idle)), "room for another connection")
         exchange.dial = self._loop.create_task(self._dial(exchange))
 
-    def _idle_connection(self, exchange: Exchange) -> Connection | None:
-        """The most recently used one that may carry this exchange, taken out of the idle ones."""
+    def _rested_connection(self, exchange: Exchange) -> Connection | None:
+        """The most recently used one that has rested, taken out of the idle ones.
+
+        Where a server's connections need no rest, the one that has rested longest stands in for it.
+        """
+        repeats, now = exchange.backend.repeats, self._loop.time()
+        needed = repeats.rest_needed(now, exchange.safe)
+        idle = self._usable_connections(exchange)
+        for connection in idle:
+            if now - connection.idle_since >= max(needed, REST) and self._take(connection):
+                repeats.rested()
+                return connection
+        if needed > 0.0:
+            return None
+        return next((connection for connection in reversed(idle) if self._take(connection)), None)
+
+    def _usable_connections(self, exchange: Exchange) -> list[Connection]:
+        """The idle ones that may carry this exchange, the most recently used first."""
         # Guards what can't be sent again: backends may close connections sooner than they need to, and a
         # request that is written to one of those is lost. One used less than a dial ago is as good as new.
         since = self._loop.time() - self._dial_timeout if exchange.once else -math.inf
-        idle = exchange.backend.idle
-        while idle and idle[-1].idle_since > since:
-            connection = idle[-1]
-            self._forget(connection)
-            if connection.usable() and connection.quiet():
-                return connection
-            connection.abandon("idle, and ended or not quiet")
-        return None
+        return [connection for connection in reversed(exchange.backend.idle) if connection.idle_since > since]
+
+    def _take(self, connection: Connection) -> bool:
+        """Take one out of the idle ones; False where it is of no more use."""
+        if connection not in self._idle:
+            return False
+        self._forget(connection)
+        if connection.usable() and connection.quiet():
+            return True
+        connection.abandon("idle, and ended or not quiet")
+        return False
+
+    def _wait_for_rest(self, exchange: Exchange) -> bool:
+        """Reserve the connection that has rested longest, if it will have rested soon."""
+        idle, now = self._usable_connections(exchange), self._loop.time()
+        if not idle:
+            return False
+        repeats, connection = exchange.backend.repeats, idle[-1]
+        missing = connection.idle_since + repeats.rest_needed(now, exchange.safe) - now
+        if repeats.wants_new(missing) or not self._take(connection):
+            return False
+        send = partial(self._after_news, self._transmit_rested, exchange, connection)
+        self._loop.call_later(max(0.0, missing), send)
+        return True
+
+    def _transmit_rested(self, exchange: Exchange, connection: Connection) -> None:
+        """Send on a connection that was reserved while it rested."""
+        if not exchange.open or (connection.usable() and connection.quiet()):
+            if exchange.open:
+                exchange.backend.repeats.rested()
+            self._transmit(exchange, connection)
+            return
+        connection.abandon("it has ended, or is not quiet, after its rest")
+        self._connect(exchange)
 
     async def _dial(self, exchange: Exchange) -> None:
         backend = exchange.backend
@@ -179,7 +226,7 @@
         if not backend.in_service or not connection.usable():
             connection.abandon("not to be kept: its server is withdrawn, moved or has closed")
             return
-        connection.idle_since = self._loop.time()
+        connection.rest()
         backend.idle.append(connection)
         self._idle[connection] = None
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -117,6 +117,8 @@
         yield stub
     finally:
         server.close()
+        for writer in stub.open:
+            writer.transport.abort()
 
 
 class Watches:
@@ -195,6 +197,7 @@
 
     def __init__(self, proxy: Proxy, sock: socket.socket) -> None:
         self.proxy, self.sock, self.port = proxy, sock, int(sock.getsockname()[1])
+        self.clients: list[Client] = []
 
     def tell(self, entries: list[dict[str, Any]]) -> None:
         """Changes of the list, as if discovery had told them."""
@@ -203,7 +206,14 @@
 
     async def client(self) -> Client:
         """A new connection to it."""
-        return Client(*await asyncio.open_connection(HOST, self.port))
+        client = Client(*await asyncio.open_connection(HOST, self.port))
+        self.clients.append(client)
+        return client
+
+    def close(self) -> None:
+        """End its callers' connections: a writer that outlives its loop is a fault when it is collected."""
+        for client in self.clients:
+            client.writer.transport.abort()
 
 
 @asynccontextmanager
@@ -211,9 +221,11 @@
     """A proxy on a free port that knows these backends."""
     proxy = Proxy(config(entries, **changed))
     sock = await proxy.front.listen()
+    made = Running(proxy, sock)
     try:
-        yield Running(proxy, sock)
+        yield made
     finally:
+        made.close()
         await proxy.front.stop_listening(sock)
         proxy.front.close()
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -405,6 +405,8 @@
             for _ in range(2):
                 assert await soon(exchanges.outcomes.get()) is Outcome.OK
             [older, newer] = exchanges.known.idle
+            for connection in (older, newer):
+                connection.idle_since -= 1.0  # both have rested
             exchanges.start()
             assert exchanges.known.idle == [older]
             assert await soon(exchanges.outcomes.get()) is Outcome.OK
