The soak's servers stop, trickle and repeat, an upgrade is among its faults, and its oracle judges passed-on answers

Oracle: whole or visibly cut by the request's time + 0.5 s, unless over 64 KiB have come or are told, or it comes at a pace that makes it long; no other request's body (but for second answers that the stand-ins gave later than drawn); no attempt after the final answer. Two planted mistakes (answers held as long as bytes come; no rests) are caught.

--- a/jaspershelf/transfer_pace.py
+++ b/jaspershelf/transfer_pace.py
@@ -13,7 +13,6 @@
 LONG_WITHIN = 2.0  # seconds after its request's time by which an answer that is carried on has to be long
 PACE_SPAN = 0.2  # seconds over which the present pace is measured, at the least
 PACE_PART = 0.25  # of an answer's mean pace, below which it has fallen behind
-BEGUN_FOR_LEAST = 0.1  # seconds that a mean pace is taken over: a first piece alone tells of none
 SILENT_AFTER = 0.4  # seconds without a byte after which an answer has fallen silent
 TOLD_SILENT_AFTER = 2.0  # the same of an answer whose length tells that it is long
 STEP = 64 << 10  # bytes of a transfer, each further of which has to be moved within a time
@@ -22,14 +21,15 @@
 class AnswerPace:
     """The pace of one answer's body; all times are seconds of one clock, all sizes bytes."""
 
-    __slots__ = ("_begun", "_last", "_mark", "_since", "size", "told_long")
+    __slots__ = ("_begun", "_first", "_last", "_mark", "_since", "size", "told_long")
 
     def __init__(self, now: float) -> None:
         """`now`: its first line has come."""
         self.size = 0
         self.told_long = False  # its length is told, and it is long
         self._begun = inf  # when the first of its body came...
-        self._last = now  # ...and when the last
+        self._first = 0  # ...how much that was...
+        self._last = now  # ...and when the last came
         self._since = now, 0  # time and size from which the present pace is measured...
         self._mark = now, 0  # ...and from which it will be
 
@@ -39,6 +39,7 @@
             return
         if self._begun == inf:
             self._begun = now
+            self._first = size
             self._since = self._mark = now, 0
         self._move_mark(now)
         self.size, self._last = size, now
@@ -64,13 +65,18 @@
         if self.told_long:
             return now - self._last <= TOLD_SILENT_AFTER
         self._move_mark(now)
-        mean = self.size / max(now - self._begun, BEGUN_FOR_LEAST)
+        mean = self._mean_pace(now)
         goes_on = now - self._last <= SILENT_AFTER and self._present_pace(now) >= PACE_PART * mean
         return goes_on and self.size + mean * left > LONG
 
+    def _mean_pace(self, now: float) -> float:
+        """Bytes a second: of what has come after its first piece, once there was time for more."""
+        begun_for = now - self._begun
+        return self.size / PACE_SPAN if begun_for < PACE_SPAN else (self.size - self._first) / begun_for
+
     def _present_pace(self, now: float) -> float:
         at, size = self._since
-        return (self.size - size) / max(now - at, BEGUN_FOR_LEAST)
+        return (self.size - size) / max(now - at, PACE_SPAN)
 
     def _move_mark(self, now: float) -> None:
         if now - self._mark[0] >= PACE_SPAN:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -19,6 +19,7 @@
 COMES_AGAIN_AFTER = 0.3  # ...and, where it comes again, is back
 SLOW_PIECE, SLOW_PAUSE = 16_384, 0.05  # bytes that a slow reader reads at a time, and seconds between
 HELD_MOST = 64 << 10  # bytes of an answer beyond which the time of its first byte counts
+BODY_NOTED = 16  # bytes of an answer by which whose it is can be told
 GONE_PAUSE = 0.02  # seconds before a client tries to connect again
 # Seconds after its request counts as lost in which a client still waits: the judge allows for a late machine.
 GIVE_UP_AFTER = 2.0
@@ -93,17 +94,17 @@
                 first = time.monotonic()
                 sent.began = True
                 found = LENGTH.search(head)
-                if found is None or int(found[1]) > HELD_MOST:
+                if found is not None and int(found[1]) > HELD_MOST:
                     sent.long_from = first
-                received = await self._read_body(reader, head)
+                await self._read_body(reader, head, sent, first)
         except TimeoutError:
             return False
         except (OSError, ValueError, asyncio.IncompleteReadError) as fault:
             sent.cut_at = time.monotonic()
             sent.began |= isinstance(fault, asyncio.IncompleteReadError) and bool(fault.partial)
             return False
-        passed_on = received > HELD_MOST or LENGTH.search(head) is None
-        sent.answered = first if passed_on or self._reads_slowly else time.monotonic()
+        sent.ended_at = time.monotonic()
+        sent.answered = first if sent.long_from is not None or self._reads_slowly else sent.ended_at
         sent.status = int(head.split(None, 2)[1])
         return b"connection: close" not in head.lower()
 
@@ -123,25 +124,40 @@
                 await reader.read(1)
             writer.transport.abort()
 
-    async def _read_body(self, reader: asyncio.StreamReader, head: bytes) -> int:
-        """Read a body in any framing; its size, that of its chunks' lines with it."""
+    async def _read_body(
+        self, reader: asyncio.StreamReader, head: bytes, sent: Sent, first: float
+    ) -> None:
+        """Read a body in any framing; its first byte came at `first`."""
         if b"transfer-encoding: chunked" in head.lower():
-            received = 0
             while size := int(await reader.readuntil(b"\r\n"), 16):
-                received += len(await self._read(reader, size + 2))
+                await self._read(reader, size, sent, first)
+                await reader.readexactly(2)
             await reader.readexactly(2)
-            return received
+            return
         found = LENGTH.search(head)
-        return len(await self._read(reader, int(found[1]))) if found is not None else len(await reader.read())
-
-    async def _read(self, reader: asyncio.StreamReader, size: int) -> bytes:
-        if not self._reads_slowly:
-            return await reader.readexactly(size)
-        data = b""
-        while len(data) < size:
-            data += await reader.readexactly(min(SLOW_PIECE, size - len(data)))
-            await asyncio.sleep(SLOW_PAUSE)
-        return data
+        if found is not None:
+            await self._read(reader, int(found[1]), sent, first)
+            return
+        while data := await reader.read(SLOW_PIECE):
+            self._note(data, sent, first)
+
+    async def _read(self, reader: asyncio.StreamReader, size: int, sent: Sent, first: float) -> None:
+        left = size
+        while left:
+            data = await reader.read(min(SLOW_PIECE, left))
+            if not data:
+                raise asyncio.IncompleteReadError(b"", left)
+            left -= len(data)
+            self._note(data, sent, first)
+            if self._reads_slowly:
+                await asyncio.sleep(SLOW_PAUSE)
+
+    def _note(self, data: bytes, sent: Sent, first: float) -> None:
+        """Note what has come of an answer; beyond 64 KiB its first byte is what counts."""
+        sent.received += len(data)
+        sent.body = (sent.body + data)[:BODY_NOTED]
+        if sent.received > HELD_MOST:
+            sent.long_from = first
 
     def _request(self, kind: str, name: str, size: int) -> bytes:
         method = METHODS[kind]
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -14,6 +14,12 @@
 - A sound answer that comes in is carried on: its server sees it cut off only where its client has left, has
   had an answer, or has no time left.
 - "Over `memory_mb` the proxy is killed" (DEPLOY): its resident size stays under it.
+- An answer that is passed on has to end, whole or cut, by the same time, unless over 64 KiB have come or are
+  told, or it comes at a pace at which it would be long within 2 s: "over 64 KiB the first bytes are timed"
+  (DAYS), and one that can't be completed "has failed and is not lost, provided the client can tell" (P).
+- A 200 has the body that a server made for this request; a second answer may be taken for it only where it
+  came later than the stand-ins are drawn to give it.
+- No attempt begins after its request's final answer.
 - None of the invariants that the process checks itself is violated.
 """
 
@@ -22,10 +28,15 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
+from hostile.slow_servers import FILLER
+
 LATE_MOST = 0.5  # seconds after a request's time in which its answer is not lost yet
 LEFT_MOST = 0.1  # seconds after a client's close in which attempts may still begin
 CROSSES = 0.1  # seconds in which a close may cross an answer's first byte
 END_EARLY = 0.3  # seconds before SIGKILL from which on an answer may be cut off: the process ends
+LONG, LONG_WITHIN = 64 << 10, 2.0  # bytes, and seconds after its time in which an answer gets so long
+PACE_DOUBT = 0.7  # of that pace: a first piece looks quicker than what follows
+EARLY_CUT = 0.05  # seconds before its time from which on an answer may be cut
 TAKEN_UNTIL = 0.7  # seconds after SIGTERM up to which SIGKILL may find a request unanswered
 
 
@@ -43,6 +54,9 @@
     began: bool = False  # some of its answer came
     long_from: float | None = None  # the first byte came of an answer that is long, or of no told length
     left_at: float | None = None  # its client closed the connection
+    received: int = 0  # bytes of the answer's body
+    body: bytes = b""  # the first of them
+    ended_at: float | None = None  # the last byte of its answer came
     again_at: float | None = None  # the same id was sent once more, on a new connection
 
 
@@ -57,6 +71,8 @@
     begun: Mapping[str, Sequence[float]] = field(default_factory=dict)  # by request: when attempts came
     # By request: when answers began that were cut off, and when they were.
     cut: Mapping[str, Sequence[tuple[float, float]]] = field(default_factory=dict)
+    late_repeats: int = 0  # second answers that came later than they are drawn to
+    before: Sequence[tuple[float, float]] = ()  # SIGTERM and SIGKILL of processes that this one has replaced
     exit_status: int | None = None  # None: it had not ended at SIGKILL
     ended_early: int | None = None  # its status where it had ended before SIGTERM
     late: float = 0.0  # the longest time for which the stand-ins were held up
@@ -73,6 +89,10 @@
         if sent.unsafe and sum(ran) > 1:
             found.append(f"{sent.name} is unsafe to repeat and may have run {sum(ran)} times")
         found += _sent_on_after_leaving(sent, observed) + _cut_off(sent, observed)
+        found += _sent_on_after_answer(sent, observed)
+    wrong = [text for sent in observed.requests if (text := _wrong(sent))]
+    if len(wrong) > observed.late_repeats:
+        found += wrong
     if observed.ended_early is not None:
         found.append(f"the process ended by itself, with {observed.ended_early}")
     if observed.exit_status not in (None, 0):
@@ -92,6 +112,35 @@
             for at in observed.begun.get(sent.name, ()) if latest < at < again]
 
 
+def _sent_on_after_answer(sent: Sent, observed: Observed) -> list[str]:
+    if sent.ended_at is None or sent.left_at is not None:
+        return []
+    latest = sent.ended_at + LEFT_MOST + 2.0 * observed.late
+    return [f"{sent.name} was sent on {at - sent.ended_at:.3f} s after its final answer"
+            for at in observed.begun.get(sent.name, ()) if at > latest]
+
+
+def _wrong(sent: Sent) -> str:
+    """Another request's answer; empty where it is its own."""
+    own = sent.body == sent.name.encode() or FILLER.startswith(sent.body)
+    if sent.status != 200 or own:
+        return ""
+    return f"{sent.name} was answered with {sent.body!r}"
+
+
+def _keeps_pace(sent: Sent, until: float) -> bool:
+    """Whether an answer came in at a pace, until then, at which it would be long in time."""
+    mean = sent.received / max(until - sent.at, 1e-3)
+    in_time = until <= sent.at + sent.timeout + LONG_WITHIN + LATE_MOST
+    return in_time and mean * (sent.timeout + LONG_WITHIN) > PACE_DOUBT * LONG
+
+
+def _killed_before(sent: Sent, at: float, observed: Observed) -> bool:
+    """Whether SIGKILL of a replaced process ended its connection then, and may have found it unanswered."""
+    return any(kill - END_EARLY <= at <= kill + END_EARLY + observed.late and sent.at <= term + TAKEN_UNTIL
+               for term, kill in observed.before)
+
+
 def _cut_off(sent: Sent, observed: Observed) -> list[str]:
     """Sound answers that the process cut off though their client waited for them."""
     if sent.left_at is not None or sent.status == 200 or sent.cut_at is not None:
@@ -99,18 +148,27 @@
     until = min(sent.at + sent.timeout - observed.late, observed.kill_at - END_EARLY)
     crosses = CROSSES + 2.0 * observed.late
     return [f"{sent.name}: its answer was cut off after {at - sent.at:.3f} s, status {sent.status}"
-            for begun, at in observed.cut.get(sent.name, ()) if at < until and at - begun > crosses]
+            for begun, at in observed.cut.get(sent.name, ())
+            if at < until and at - begun > crosses and not _killed_before(sent, at, observed)]
 
 
 def _broken(sent: Sent, observed: Observed) -> str:
     if sent.left_at is not None:
         return ""
     after = sent.at - observed.term_at
-    where = f"{sent.name}, sent {after:+.3f} s after SIGTERM"
+    where = f"{sent.name}, sent {after:+.3f} s after SIGTERM, for {sent.timeout} s, {sent.received} bytes"
     due = sent.at + sent.timeout + LATE_MOST + observed.late
     if sent.answered is not None:
-        return f"{where}: answered {sent.answered - due:.3f} s too late" if sent.answered > due else ""
+        in_time = sent.answered <= due or _keeps_pace(sent, sent.answered)
+        return "" if in_time else f"{where}: answered {sent.answered - due:.3f} s too late"
     if sent.cut_at is not None and sent.cut_at < observed.kill_at:
+        if _killed_before(sent, sent.cut_at, observed):
+            return ""
+        time_up = sent.at + sent.timeout - EARLY_CUT - observed.late
+        if sent.received and sent.long_from is None and sent.cut_at >= time_up and (
+            sent.cut_at <= due or _keeps_pace(sent, sent.cut_at)
+        ):
+            return ""  # its client can tell
         if sent.began or sent.name in observed.runs:
             return f"{where}: its connection ended {sent.cut_at - sent.at:.3f} s later with no whole answer"
         return ""
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -9,6 +9,7 @@
 import random
 import re
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -16,7 +17,7 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
+from typing import IO, Any
 
 from hostile.callers import Call, crowd
 from hostile.stage import small_send_buffers
@@ -37,7 +38,9 @@
 SEND_BUFFER, RECEIVE_BUFFER = 32 << 10, 8 << 10  # bytes
 MEASURE_EVERY = 0.25  # seconds
 PEERS, PROCESS = ".1", ".2"  # the last part of their addresses
-PORT, ADMIN_PORT = 8080, 8081  # of the process
+PORT, ADMIN_PORT, SECOND_ADMIN_PORT = 8080, 8081, 8082  # of the process, and of the one that replaces it
+UPGRADE_AFTER = 1.0  # seconds
+SETTLE = 0.2  # seconds in which connections that were made are accepted
 NOBODY = 9  # a port at which nobody listens
 PEAK = re.compile(r"VmHWM:\s*(\d+)")
 HOSTS = itertools.count(1)
@@ -79,6 +82,9 @@
     slow_readers: float = 0.0  # part of the clients
     aim_part: float = 1.0  # of the deadline, by which an answer is worth most
     small_buffers: bool = False  # of the sockets of the process and its servers
+    spoils: float = 0.0  # part of the requests with an answer that stops or trickles...
+    repeats: float = 0.0  # ...and with one that comes a second time
+    upgrades: bool = False  # another process takes the first one's place
 
     @property
     def grace(self) -> float:
@@ -107,6 +113,9 @@
     plan.leaves, plan.slow_readers = slow.choice([0.0, 0.1, 0.3]), slow.choice([0.0, 0.3])
     plan.small_buffers = slow.random() < 0.5
     plan.aim_part = slow.choice([1.0, 0.4])
+    spoilt = random.Random(f"soak spoilt {seed}")
+    plan.spoils, plan.repeats = spoilt.choice([0.0, 0.1, 0.3]), spoilt.choice([0.0, 0.2])
+    plan.upgrades = seed % 4 == 1
     return plan
 
 
@@ -142,6 +151,9 @@
         self._connects_until = float("inf")
         self._registries: dict[str, StandInRegistry] = {}
         self.port, self.admin = PORT, ADMIN_PORT
+        self._listener: socket.socket | None = None  # the clients', where processes inherit it
+        self._replaced: list[asyncio.subprocess.Process] = []
+        self._environment: dict[str, str] = {}
         # An address of its own: no other process's listener, nor a connection's own port, is in its way.
         self._host = f"127.{os.getpid() % 100 + 20}.{next(HOSTS) % 250}"
 
@@ -160,21 +172,82 @@
             self._path.write_text(text)
             shim = small_send_buffers(self._folder, SEND_BUFFER) if self._plan.small_buffers else {}
             with self._log.open("wb") as log:
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable, *self._program, cwd=ROOT, stderr=log,
-                    env={**os.environ, "RELAY_CONFIG": str(self._path), **shim},
-                )
+                self._environment = {
+                    **os.environ, "RELAY_CONFIG": str(self._path), "TMPDIR": str(self._folder), **shim}
+                if self._plan.upgrades:
+                    self._listener = socket.create_server((self._host + PROCESS, self.port), backlog=1024)
+                process = await self._start(log)
             tasks = [asyncio.create_task(task) for task in (self._look_late(), self._measure(process.pid))]
             try:
                 await self._ready()
                 tasks += [asyncio.create_task(client.run()) for client in self._clients()]
                 tasks += [asyncio.create_task(self._attack(attack)) for attack in self._plan.attacks]
+                if self._plan.upgrades:
+                    process = await self._upgrade(process)
                 await self._signals(process)
             finally:
                 await self._end(process, tasks)
+                for other in self._replaced:
+                    await self._end(other, [])
+                if self._listener is not None:
+                    self._listener.close()
+                self.observed.late_repeats = self._record.late_repeats
                 for registry in self._registries.values():
                     registry.close()
 
+    async def _start(self, log: IO[bytes], admin: int = ADMIN_PORT) -> asyncio.subprocess.Process:
+        """A process; with upgrades it inherits the clients' listening socket."""
+        inherited: dict[str, str] = {}
+        descriptors: tuple[int, ...] = ()
+        if self._listener is not None:
+            descriptors = (self._listener.fileno(),)
+            inherited = {"RELAY_LISTEN_FD": str(descriptors[0]),
+                         "RELAY_ADMIN_ADDR": f"{self._host}{PROCESS}:{admin}"}
+        return await asyncio.create_subprocess_exec(
+            sys.executable, *self._program, cwd=ROOT, stderr=log, pass_fds=descriptors,
+            env={**self._environment, **inherited},
+        )
+
+    async def _upgrade(self, old: asyncio.subprocess.Process) -> asyncio.subprocess.Process:
+        """Start a second process, end the first once that is ready, and kill it as early as may be."""
+        await asyncio.sleep(UPGRADE_AFTER)
+        with self._log.with_suffix(".second").open("wb") as log:
+            new = await self._start(log, SECOND_ADMIN_PORT)
+        self._replaced.append(old)
+        try:
+            await self._says_ready(SECOND_ADMIN_PORT)
+        except BaseException:
+            await self._end(new, [])
+            raise
+        term_at = time.monotonic()
+        self.admin = SECOND_ADMIN_PORT
+        if old.returncode is not None:
+            self.observed.ended_early = old.returncode
+        with suppress(ProcessLookupError):
+            old.send_signal(signal.SIGTERM)
+        for at, kind in self._plan.after:
+            await _until(term_at + at)
+            await self._signal(old, kind)
+        await _until(term_at + self._plan.grace)
+        self.observed.before = ((term_at, time.monotonic()),)
+        if old.returncode is None:
+            old.kill()
+        elif old.returncode:
+            self.observed.ended_early = old.returncode
+        return new
+
+    async def _says_ready(self, admin: int) -> None:
+        async with asyncio.timeout(READY_MOST):
+            while True:
+                with suppress(OSError, asyncio.IncompleteReadError):
+                    reader, writer = await self.connect(admin)
+                    writer.write(b"GET /api/ready HTTP/1.1\r\nHost: soak\r\n\r\n")
+                    head = await reader.readuntil(b"\r\n\r\n")
+                    writer.transport.abort()
+                    if head.startswith(b"HTTP/1.1 200"):
+                        return
+                await asyncio.sleep(0.05)
+
     async def _ready(self) -> None:
         async with asyncio.timeout(READY_MOST):
             while True:
@@ -230,9 +303,13 @@
             await self._signal(process, kind)
         await _until(begun + self._plan.serves_for)
         self._hangs = self._plan.hangs_at_end
+        if self._listener is not None:  # no other process comes that takes what waits to be accepted
+            self._connects_until = time.monotonic()
+            await asyncio.sleep(SETTLE)
         self.observed.term_at = time.monotonic()
         self.observed.kill_at = self.observed.term_at + self._plan.grace
-        self._connects_until = self.observed.term_at + self._plan.connects_for
+        if self._listener is None:
+            self._connects_until = self.observed.term_at + self._plan.connects_for
         self.observed.ended_early = process.returncode
         with suppress(ProcessLookupError):
             process.send_signal(signal.SIGTERM)
@@ -285,7 +362,8 @@
     @asynccontextmanager
     async def _servers(self) -> AsyncIterator[list[StandInServer]]:
         conduct: Callable[[], Any] = lambda: draw_conduct(  # noqa: E731
-            self._rng, self._hangs, self._plan.floods, self._plan.slow, self._plan.reads_at)
+            self._rng, self._hangs, self._plan.floods, self._plan.slow, self._plan.reads_at,
+            self._plan.spoils, self._plan.repeats)
         receive_buffer = RECEIVE_BUFFER if self._plan.small_buffers else None
         servers = [StandInServer(conduct, self._record, receive_buffer) for _ in range(4)]
         for server in servers:
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -1,4 +1,4 @@
-"""Stand-in servers: they answer, are slow, hang, turn away, fail or reset, and note each request's id."""
+"""Stand-in servers: they answer, are slow, hang, turn away, fail, reset or spoil, and note what they see."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from hostile.slow_servers import Framing, Piece, evenly, read_body, write_answer
+from hostile.spoilt_servers import Spoil, whole, write_spoilt
 
 REQUEST_ID = re.compile(rb"(?i)\r\nx-request-id: *(\S+)")
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
@@ -30,6 +31,8 @@
     framing: Framing = Framing.LENGTH  # ...and how its end is told
     reads_at: float = 0.0  # bytes a second of a request's body; 0: as it comes
     stops_reading: bool = False  # in the middle of a request's body
+    spoil: Spoil | None = None  # in place of the answer: one that never ends
+    repeats_after: float = 0.0  # seconds after the answer in which it comes a second time; 0: it does not
 
 
 @dataclass(slots=True)
@@ -40,8 +43,11 @@
     begun: dict[str, list[float]] = field(default_factory=dict)  # by request: when each attempt came
     # By request: when an answer began that was cut off, and when it was.
     cut: dict[str, list[tuple[float, float]]] = field(default_factory=dict)
+    late_repeats: int = 0  # second answers that came later than any is drawn to
 
 
+REPEATS_AFTER = (0.002, 0.009)  # seconds
+REPEAT_LATE = 0.01  # seconds after an answer beyond which its second one is later than drawn
 STRAY_WITHIN = 0.012  # seconds after an answer, with what it takes to come here
 LOOK_EVERY = 0.01  # seconds
 STOPPED_FOR = 10.0  # seconds for which a server that stops reading keeps the connection
@@ -71,11 +77,16 @@
 
 
 def draw_conduct(
-    rng: random.Random, hangs: float, floods: float = 0.0, slow: float = 0.0, reads_at: float = 0.0
+    rng: random.Random, hangs: float, floods: float = 0.0, slow: float = 0.0, reads_at: float = 0.0,
+    spoils: float = 0.0, repeats: float = 0.0,
 ) -> Conduct:
     """Mostly soon and well; `hangs`: the part without an answer; `floods`: with one that never ends; `slow`:
-    sound and slow; `reads_at`: bytes a second of all bodies.
+    sound and slow; `reads_at`: bytes a second of all bodies; `spoils`: the part with an answer that stops or
+    trickles; `repeats`: with one that comes a second time.
     """
+    if spoils and rng.random() < spoils:
+        return Conduct(
+            rng.uniform(0.0, 0.1), b"", spoil=rng.choice(list(Spoil)), framing=rng.choice(list(Framing)))
     if reads_at:
         return Conduct(0.0, OK, reads_at=reads_at)
     if slow and rng.random() < slow:
@@ -90,7 +101,10 @@
         return Conduct(rng.uniform(0.0, 0.2), b"", resets=True)
     if chance < hangs + 0.08:
         return Conduct(rng.uniform(0.0, 0.1), rng.choice([ERROR, FULL]))
-    return Conduct(min(2.0, rng.expovariate(1 / 0.06)), OK)
+    conduct = Conduct(min(2.0, rng.expovariate(1 / 0.06)), OK)
+    if repeats and rng.random() < repeats:
+        conduct.repeats_after = rng.uniform(*REPEATS_AFTER)
+    return conduct
 
 
 class StandInServer:
@@ -103,6 +117,7 @@
         self._record = record
         self._receive_buffer = receive_buffer  # bytes
         self._tasks: set[asyncio.Task[None]] = set()
+        self._answering: set[asyncio.StreamWriter] = set()  # bit by bit
         self.address = ""
 
     async def open(self, host: str) -> None:
@@ -149,8 +164,15 @@
                     break
                 if conduct.resets:
                     break
-                writer.write(conduct.answer)
+                if conduct.spoil is not None:
+                    await self._spoil(reader, writer, conduct.spoil, conduct.framing)
+                    break
+                answer = whole(name.encode()) if conduct.answer == OK else conduct.answer
+                writer.write(answer)
                 answered = time.monotonic()
+                if conduct.repeats_after:
+                    asyncio.get_running_loop().call_later(
+                        conduct.repeats_after, self._repeat, writer, answer, answered)
                 if conduct.flood:
                     for _ in range(FLOOD_MOST // len(conduct.flood)):
                         writer.write(conduct.flood)
@@ -163,6 +185,23 @@
             self._tasks.discard(task)
             writer.transport.abort()
 
+    def _repeat(self, writer: asyncio.StreamWriter, answer: bytes, answered: float) -> None:
+        if writer in self._answering or writer.is_closing():  # it would be a part of that answer
+            return
+        self._record.late_repeats += time.monotonic() - answered > REPEAT_LATE
+        writer.write(answer)
+
+    async def _spoil(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, spoil: Spoil, framing: Framing
+    ) -> None:
+        """Spoil an answer until its connection ends."""
+        spoiling = asyncio.ensure_future(write_spoilt(writer, spoil, framing))
+        try:
+            await reader.read()
+        finally:
+            spoiling.cancel()
+            await asyncio.gather(spoiling, return_exceptions=True)
+
     async def _answer_slowly(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str, conduct: Conduct,
         answered: float,
@@ -177,6 +216,7 @@
         unclear = begun - answered < STRAY_WITHIN
         ended: list[float] = []
         watch = asyncio.ensure_future(_note_end(reader, ended))
+        self._answering.add(writer)
         try:
             await write_answer(writer, conduct.framing, conduct.pieces)
         except OSError:
@@ -186,6 +226,7 @@
                 self._record.cut.setdefault(name, []).append((begun, cut_at))
             raise
         finally:
+            self._answering.discard(writer)
             watch.cancel()
         if conduct.framing is Framing.CLOSE:
             await reader.read()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -32,7 +32,8 @@
 def all_hang_at_the_end(plan: Plan) -> None:
     plan.deadline, plan.clients, plan.sockets, plan.think, plan.hangs_at_end = 2.0, 40, 1024, 0.02, 0.8
     plan.before, plan.after = [], []
-    plan.slow = plan.uploads = plan.leaves = plan.slow_readers = 0.0
+    plan.slow = plan.uploads = plan.leaves = plan.slow_readers = plan.spoils = plan.repeats = 0.0
+    plan.upgrades = False
     plan.aim_part, plan.small_buffers = 1.0, False
 
 
@@ -58,7 +59,8 @@
 def all_are_slow(plan: Plan) -> None:
     plan.deadline, plan.aim_part, plan.clients, plan.sockets, plan.think = 2.0, 0.3, 12, 1024, 0.0
     plan.slow, plan.uploads, plan.leaves, plan.small_buffers, plan.memory_mb = 1.0, 0.5, 0.3, True, 32
-    plan.hangs = plan.hangs_at_end = 0.0
+    plan.hangs = plan.hangs_at_end = plan.spoils = plan.repeats = 0.0
+    plan.upgrades = False
     plan.serves_for, plan.before, plan.after = 4.0, [], []
 
 
@@ -74,6 +76,38 @@
     assert play(0, change).broken == []
 
 
+#: The same for answers that never end, or come a second time.
+SPOILT_MISTAKES = {
+    "answers are held as long as bytes come":
+        "from jaspershelf.transfer_pace import AnswerPace; AnswerPace.may_be_long = lambda *_: True",
+    "connections need no rest":
+        "from jaspershelf.repeated_answers import RepeatedAnswers; "
+        "RepeatedAnswers.rest_needed = lambda *_, **__: 0.0; RepeatedAnswers.is_early = lambda *_: False",
+}
+
+
+def all_spoil(plan: Plan) -> None:
+    all_are_slow(plan)
+    plan.slow, plan.uploads, plan.leaves, plan.deadline, plan.spoils = 0.0, 0.0, 0.0, 1.0, 0.5
+    plan.upgrades, plan.memory_mb = True, 192
+
+
+def all_repeat(plan: Plan) -> None:
+    all_spoil(plan)
+    plan.spoils, plan.repeats, plan.think, plan.clients = 0.0, 0.5, 0.01, 16
+
+
+@pytest.mark.parametrize("mistake", SPOILT_MISTAKES)
+def test_a_mistake_with_servers_that_spoil_answers_is_caught(mistake: str) -> None:
+    program = ("-c", f"import sys, lugspur.process as m; {SPOILT_MISTAKES[mistake]}; sys.exit(m.main())")
+    assert play(0, all_repeat if "rest" in mistake else all_spoil, program).broken
+
+
+@pytest.mark.parametrize("change", [all_spoil, all_repeat])
+def test_servers_that_spoil_answers_break_nothing(change: Callable[[Plan], None]) -> None:
+    assert play(0, change).broken == []
+
+
 @pytest.mark.parametrize("mistake", MISTAKES)
 def test_a_mistake_at_the_end_is_caught(mistake: str) -> None:
     program = ("-c", f"import sys, lugspur.process as m; {MISTAKES[mistake]}; sys.exit(m.main())")
@@ -124,6 +158,35 @@
     assert bool(breaks(observed)) == broken
 
 
+@pytest.mark.parametrize(("sent", "begun", "broken"), [
+    (Sent("r", False, 5.0, 1.0, cut_at=6.4, began=True, received=200), [], False),  # its client can tell
+    (Sent("r", False, 5.0, 1.0, cut_at=6.6, began=True, received=200), [], True),
+    (Sent("r", False, 5.0, 1.0, cut_at=5.6, began=True, received=200), [], True),
+    (Sent("r", False, 5.0, 1.0, answered=6.6, received=200), [], True),
+    (Sent("r", False, 5.0, 1.0, answered=7.0, received=60_000), [], False),  # at a pace that makes it long
+    (Sent("r", False, 5.0, 1.0, answered=9.0, received=60_000), [], True),
+    (Sent("r", False, 5.0, 1.0, began=True, received=200), [], True),  # it never ended
+    (Sent("r", False, 5.0, 1.0, answered=5.5, status=200, body=b"r"), [], False),
+    (Sent("r", False, 5.0, 1.0, answered=5.5, status=200, body=b"r2"), [], True),
+    (Sent("r", False, 5.0, 1.0, answered=5.5, ended_at=5.5), [5.1, 5.59], False),
+    (Sent("r", False, 5.0, 1.0, answered=5.5, ended_at=5.5), [5.1, 5.61], True),
+])
+def test_what_is_late_wrong_or_sent_on_after_its_end(sent: Sent, begun: list[float], broken: bool) -> None:
+    assert bool(breaks(Observed(TERM, KILL, [sent], begun={"r": begun}))) == broken
+
+
+def test_a_wrong_answer_is_allowed_only_to_a_second_one_that_came_late() -> None:
+    wrong = [Sent(f"r{n}", False, 5.0, 1.0, answered=5.5, status=200, body=b"r") for n in range(2)]
+    assert breaks(Observed(TERM, KILL, wrong, late_repeats=1))
+    assert not breaks(Observed(TERM, KILL, wrong, late_repeats=2))
+
+
+def test_the_kill_of_a_replaced_process_may_find_what_came_just_before_its_end() -> None:
+    for at, lost in ((5.6, False), (5.8, True)):
+        sent = Sent("r", False, at, 3.0, cut_at=7.75)
+        assert bool(breaks(Observed(TERM, KILL, [sent], {"r": [True]}, before=[(5.0, 7.7)]))) == lost
+
+
 def test_a_close_that_crosses_an_answer_s_first_byte_is_no_cut() -> None:
     sent = Sent("r", False, 5.0, 1.0, answered=5.5, status=504)
     assert breaks(Observed(TERM, KILL, [sent], cut={"r": [(5.4, 5.51)]}))
