--- a/lugspur/admin.py
+++ b/lugspur/admin.py
@@ -12,8 +12,9 @@
 import orjson
 
 from lugspur.accept import Acceptor
-from lugspur.caller import LINGER, SPENT
+from lugspur.caller import SPENT
 from lugspur.events import log
+from lugspur.linger import LINGER
 from lugspur.listening import listening_socket
 from lugspur.memory import READ_BUFFER, Account, Purpose
 from lugspur.request import Rejected, path_of
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -16,6 +16,7 @@
 from lugspur.events import log
 from lugspur.exchange import STUCK, Exchange, Response
 from lugspur.incoming_limit import IncomingLimit
+from lugspur.linger import LINGER, LingerLimit
 from lugspur.memory import OUT_OF_MEMORY, READ_BUFFER, REQUEST_COST, CallerHoldings, Purpose
 from lugspur.request import (
     Rejected,
@@ -33,8 +34,6 @@
     from lugspur.front import Front
 
 HEAD_MOST = 64 << 10  # bytes of a request's head, and of what stands between the parts of its body
-LINGER = 1.0  # seconds of a lingering close in which what still comes is read: a reset would eat the answer
-LINGER_MOST = 30.0  # seconds of it where more and more comes
 AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that a caller may send behind a request that is being served...
 QUEUED_MOST = 32  # ...and whole requests
 SPENT = httptools.HttpRequestParser(object())  # in place of one whose connection reads no more
@@ -145,20 +144,13 @@
         except OSError:  # the caller has reset it, and the loop has not read that yet
             self.abort("its caller has reset it")
             return
-        self._linger_until = self._loop.time() + LINGER_MOST
-        self._unsent, self._ticks = -1, 0
+        self._linger_limit = LingerLimit(self._loop.time(), self.unsent())
         self._linger()
 
     def _linger(self) -> None:
-        """End it once all has been out for LINGER, or none of what is left has gone out for STUCK.
-
-        Guards the answer of a caller that is still sending: a reset would take it away unread.
-        """
-        unsent = self._transport.get_write_buffer_size()
-        moves = unsent != self._unsent or (self._dropped and self._loop.time() < self._linger_until)
-        self._ticks = 0 if moves else self._ticks + 1
-        self._unsent, self._dropped = unsent, 0
-        if self._ticks * LINGER >= (STUCK if unsent else LINGER):
+        """End it once it has lingered for long enough."""
+        unsent, dropped, self._dropped = self.unsent(), self._dropped, 0
+        if self._linger_limit.is_over(self._loop.time(), unsent, dropped):
             if unsent:
                 trace.record("caller.stuck", unsent=unsent)
             self.abort()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import socket
 import struct
 from typing import Any
@@ -29,9 +30,10 @@
 
 from jaspershelf.model import Limits
 from lugspur.body import HELD_MOST
-from lugspur.caller import AHEAD_MOST, LINGER, QUEUED_MOST, Caller
+from lugspur.caller import AHEAD_MOST, QUEUED_MOST, Caller
 from lugspur.exchange import STUCK
 from lugspur.front import LINGERERS
+from lugspur.linger import LINGER
 
 
 def raw(port: int) -> socket.socket:
@@ -422,3 +424,23 @@
     asyncio.run(play())
 
 
+def test_a_lingering_close_ends_though_its_caller_takes_a_byte_now_and_then(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play() -> None:
+        async with running([]) as up:
+            await up.client()
+            await until(lambda: bool(up.proxy.front.callers))
+            [caller] = up.proxy.front.callers
+            left, ended = itertools.count(1000, -1), asyncio.Event()
+            monkeypatch.setattr(caller._transport, "get_write_buffer_size", lambda: next(left))
+            monkeypatch.setattr(caller, "abort", ended.set)
+            caller.close()
+            caller._linger()
+            now = asyncio.get_running_loop().time()
+            assert not ended.is_set() and caller._linger_limit.until < now + 1.1 * STUCK
+            caller._linger_limit.until = now
+            caller._linger()
+            assert ended.is_set()
+
+    asyncio.run(play())
