A long answer that begins just after its request's time, beside another that comes in, is carried on

Callers saw: the head and first piece of a sound answer of 90 to 235 kB, and a cut in the same moment. Cause: `Exchange.begin` looks at the answer's pace at once, and the connection told it of the bytes only after the parser's turn: it seemed that none had come. Only where another attempt's answer keeps the request waiting past its time does an answer begin there. Change: the connection tells the pace before it passes an answer on.

--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -277,8 +277,7 @@
         if self.exchange is None:
             self._answer_held.set(0)
             return
-        if self.exchange.pace is not None:
-            self.exchange.pace.came(self._upstream.now(), self._size)
+        self._note_pace(self.exchange)
         self._answer_held.set(len(self._head) + len(self._body) + self._head_size)
         if self._head_size > ANSWER_HEAD_MOST or self._header_count > HEADERS_MOST:  # Guards memory and time.
             trace.record("backend.endless", to=self._to[0], id=self.exchange.name)
@@ -379,6 +378,10 @@
         if max(self._size, self._length or 0) > HELD_MOST:
             self.pass_on()
 
+    def _note_pace(self, exchange: Exchange) -> None:
+        if exchange.pace is not None:
+            exchange.pace.came(self._upstream.now(), self._size)
+
     def has_body(self) -> bool:
         """Whether some of the answer's body has come."""
         return self._in_body and self._size > 0
@@ -395,6 +398,7 @@
         if not self.written:  # Guards what is still to be sent: this answers no request.
             exchange.broke(BEFORE_REQUEST)
             return
+        self._note_pace(exchange)  # the look that follows has to know of it
         beginning = self._response()
         self._body.clear()
         exchange.begin(beginning)
--- a/tests/test_slow_answers.py
+++ b/tests/test_slow_answers.py
@@ -6,10 +6,12 @@
 from dataclasses import replace
 
 import pytest
-from loopback import backend, entry, read, running, soon
+from loopback import backend, entry, read, running, soon, status
+from test_crossings_upstream import raw
 
 from jaspershelf import Balancer, ListKind, Outcome, RequestClass, Send, ServerRow, Settings
 from jaspershelf.model import Group, Limits, Repeat
+from lugspur.body import HELD_MOST
 from lugspur.exchange import Exchange
 from lugspur.proxy_checks import LATE_MOST, overdue_calls
 
@@ -72,3 +74,27 @@
             assert not up.proxy._calls, "and is ended"
 
     asyncio.run(play())
+
+
+def test_a_long_answer_that_begins_just_after_its_time_beside_another_is_carried_on(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Exchange, "is_coming_in", lambda self: self.open)  # as another attempt's answer is
+    body = bytes(2 * HELD_MOST)
+
+    async def play() -> None:
+        async with raw() as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            client.writer.write(read(timeout="0.3"))
+            sock = await one.accept()
+            await one.request(sock)
+            sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body))
+            await asyncio.sleep(0.35)
+            loop = asyncio.get_running_loop()
+            await loop.sock_sendall(sock, body[:1000])
+            await asyncio.sleep(0.1)
+            await loop.sock_sendall(sock, body[1000:])
+            answer = await client.answer()
+            assert status(answer) == 200 and answer.endswith(body)
+
+    asyncio.run(play())
