The test of the most recent connection fakes the rest of its answers too

Cause, traced: the test ages the connections' rests (`idle_since`) and not the moment of their answers, so a third answer within 10 ms of the real second one, in under half of the first ones' time, counted as early, and an early answer's connection is not kept, as it should. Evidence: with the first answers made slow the test fails each time, and with this change passes. The assertions are unchanged.

--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -406,7 +406,8 @@
                 assert await soon(exchanges.outcomes.get()) is Outcome.OK
             [older, newer] = exchanges.known.idle
             for connection in (older, newer):
-                connection.idle_since -= 1.0  # both have rested
+                connection.idle_since -= 1.0  # both have rested...
+                connection._answered -= 1.0  # ...since their answers
             exchanges.start()
             assert exchanges.known.idle == [older]
             assert await soon(exchanges.outcomes.get()) is Outcome.OK
