The soak asks in one place whether a process is ready

The upgrade's wait for /api/ready was a copy of the wait for /healthz; one function serves both. No check changes.

--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -179,7 +179,7 @@
                 process = await self._start(log)
             tasks = [asyncio.create_task(task) for task in (self._look_late(), self._measure(process.pid))]
             try:
-                await self._ready()
+                await self._says_yes(self.port, "/healthz")
                 tasks += [asyncio.create_task(client.run()) for client in self._clients()]
                 tasks += [asyncio.create_task(self._attack(attack)) for attack in self._plan.attacks]
                 if self._plan.upgrades:
@@ -215,7 +215,7 @@
             new = await self._start(log, SECOND_ADMIN_PORT)
         self._replaced.append(old)
         try:
-            await self._says_ready(SECOND_ADMIN_PORT)
+            await self._says_yes(SECOND_ADMIN_PORT, "/api/ready")
         except BaseException:
             await self._end(new, [])
             raise
@@ -236,24 +236,13 @@
             self.observed.ended_early = old.returncode
         return new
 
-    async def _says_ready(self, admin: int) -> None:
+    async def _says_yes(self, port: int, path: str) -> None:
+        """Ask for this path at a port of the process until the answer is 200."""
         async with asyncio.timeout(READY_MOST):
             while True:
                 with suppress(OSError, asyncio.IncompleteReadError):
-                    reader, writer = await self.connect(admin)
-                    writer.write(b"GET /api/ready HTTP/1.1\r\nHost: soak\r\n\r\n")
-                    head = await reader.readuntil(b"\r\n\r\n")
-                    writer.transport.abort()
-                    if head.startswith(b"HTTP/1.1 200"):
-                        return
-                await asyncio.sleep(0.05)
-
-    async def _ready(self) -> None:
-        async with asyncio.timeout(READY_MOST):
-            while True:
-                with suppress(OSError, asyncio.IncompleteReadError):
-                    reader, writer = await self.connect()
-                    writer.write(b"GET /healthz HTTP/1.1\r\nHost: soak\r\n\r\n")
+                    reader, writer = await self.connect(port)
+                    writer.write(f"GET {path} HTTP/1.1\r\nHost: soak\r\n\r\n".encode())
                     head = await reader.readuntil(b"\r\n\r\n")
                     writer.transport.abort()
                     if head.startswith(b"HTTP/1.1 200"):
