One lease says by when and by what a request ends; slow is measured against each request's own time

Callers saw: no end, or one up to 1 s too late, where an answer of up to 64 KiB by T + 0.5 s still came in (T: the request's time), and safe requests unserved beside three sound servers. Cause: what ends a request stood in six modules (transfer_pace, exchange, proxy, call, proxy_checks, upstream), each with its own figures and exemptions; the grace for 'may be long' was 2 s where the terms have 0.5, the run-time check repeated it, and 'slow' was 32 KiB a second whatever T is. Change: jaspershelf/request_lease.py, without I/O: granted at arrival, renewed only once over 64 KiB have come, bounded by the process's end; sending, repeating, passing on and starting ask it. An answer that says that it is long is held until its pace is known where another server may serve. lugspur/request_audit.py counts what happened against the terms, with figures of its own. What can't be known: an answer of unknown length counts as up to 64 KiB unless half of its class's whole answers were longer.

--- /dev/null
+++ b/jaspershelf/request_lease.py
@@ -0,0 +1,169 @@
+"""By when a request ends, and by what: one lease of time for each request, without I/O.
+
+A lease is granted when the request's time is known. It runs to a moment shortly after that time, is renewed
+by one event alone (more of its answer has come than is timed by the last byte), and is bounded by the end of
+the process. Whoever sends, repeats, passes on, closes or starts anything for the request asks its lease.
+All times are seconds of one monotonic clock, all sizes bytes.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from math import inf
+from typing import Protocol
+
+from jaspershelf.model import NEVER_RAN, Outcome
+from jaspershelf.transfer_pace import LONG, AnswerPace
+
+LATE_MOST = 0.5  # seconds after a request's time from which on its end is lost
+HELD_UP_MOST = 0.15  # seconds for which the process may be held up between its clock and its write
+END_AFTER = LATE_MOST - HELD_UP_MOST  # seconds after its time by which a request ends...
+LONG_AFTER = 0.46  # ...or by which its answer is long, where it comes at such a pace
+SILENT_MOST = 2.0  # seconds of its server's silence after which nothing more is waited for
+LOOK_EVERY = 0.05  # seconds between looks at an answer that comes in after its request's time
+SIZES_SEEN = 8.0  # whole answers of a class over which what is usual is smoothed
+USUALLY_LONG = 0.5  # part of them that are long, from which on the next one is expected to be
+
+
+class Bound(Protocol):
+    """What bounds all leases of a process."""
+
+    until: float  # all that was taken has ended by then; infinite while the process goes on
+
+
+class Endless:
+    """A bound that never comes."""
+
+    until = inf
+
+
+class Step(Enum):
+    """What is to be done about a request now."""
+
+    WAIT = "wait"  # and look again when the lease says so
+    PASS_ON = "pass on"  # what has come of its answer, and the rest as it comes
+    END = "end"  # failed, or cut where some of its answer was passed on
+
+
+class AnswerSizes:
+    """How large the whole answers of one class have been."""
+
+    __slots__ = ("_largest_short", "_long_part")
+
+    def __init__(self) -> None:
+        self._long_part = 0.0
+        self._largest_short = 0
+
+    def note(self, size: int) -> None:
+        """An answer was whole, with so many bytes."""
+        self._long_part += ((size > LONG) - self._long_part) / SIZES_SEEN
+        if size <= LONG:
+            self._largest_short = max(self._largest_short, size)
+
+    def expected(self, come: int) -> int:
+        """The size of an answer that does not tell its own, of which so much has come."""
+        if self._long_part >= USUALLY_LONG:
+            return LONG + 1
+        return self._largest_short if self._largest_short > come else LONG
+
+
+class RequestLease:
+    """The lease of one request."""
+
+    __slots__ = ("_bound", "_repeats_for", "_runs", "ended", "renewed", "time_up")
+
+    def __init__(self, bound: Bound | None = None, repeats_for: float = inf) -> None:
+        """`repeats_for`: seconds after a first attempt that may have run in which others may begin."""
+        self._bound = bound or Endless()
+        self._repeats_for = repeats_for
+        self._runs: dict[int, float] = {}  # attempts that may have run, or may still: when each began
+        self.time_up = inf  # the request's time; it has none while the request is still coming in
+        self.renewed = False  # more of its answer has come than is timed by the last byte
+        self.ended = False  # it has its final answer, or nobody waits for one
+
+    # ---- its time --------------------------------------------------------------------------
+
+    def grant(self, time_up: float) -> None:
+        """The request's time is known."""
+        self.time_up = time_up
+
+    def deadline(self) -> float:
+        """When an answer is owed: at its time, or at the end of the process."""
+        return min(self.time_up, self._bound.until)
+
+    def attempt_until(self) -> float:
+        """When an attempt whose answer has begun ends, whoever still waits for it."""
+        return min(self.time_up + LATE_MOST, self._bound.until)
+
+    def end(self) -> None:
+        """Nothing is owed any more."""
+        self.ended = True
+
+    # ---- attempts --------------------------------------------------------------------------
+
+    def may_start(self, now: float) -> bool:
+        """Whether anything may begin for it."""
+        return not self.ended and now < self.deadline()
+
+    def may_attempt(self, now: float) -> bool:
+        """Whether an attempt may begin, a first one or another: no effect may be had twice by it."""
+        first = min(self._runs.values(), default=None)
+        return self.may_start(now) and (first is None or now - first < self._repeats_for)
+
+    def attempt_began(self, number: int, now: float) -> None:
+        """The attempt of this number is out."""
+        self._runs[number] = now
+
+    def attempt_ended(self, number: int, outcome: Outcome) -> None:
+        """It is over."""
+        if outcome in NEVER_RAN:
+            self._runs.pop(number, None)
+
+    def may_have_run(self) -> bool:
+        """Whether any attempt has run, or may still run."""
+        return bool(self._runs)
+
+    # ---- its answer ------------------------------------------------------------------------
+
+    def is_slow(self, now: float, answer: AnswerPace, sizes: AnswerSizes) -> bool:
+        """Whether an answer that comes in will be neither whole nor long in time, at its pace."""
+        if answer.is_long():
+            return False
+        size = answer.told_size if answer.told_size is not None else sizes.expected(answer.size)
+        if size > LONG:
+            return not answer.reaches(LONG + 1, now, self.time_up + LONG_AFTER)
+        return not answer.reaches(size, now, self.time_up)
+
+    def passes_on(self, now: float, answer: AnswerPace, sizes: AnswerSizes) -> bool:
+        """Whether an answer that is held is passed on before its request's time: nobody else will serve it.
+
+        One that says that it is long waits only until its pace is known.
+        """
+        if answer.is_long():
+            return True
+        return answer.says_long() and answer.is_known(now) and not self.is_slow(now, answer, sizes)
+
+    def step(self, now: float, answer: AnswerPace | None, is_passed_on: bool) -> Step:
+        """What is to be done, by the answer that has come furthest; None where none has begun."""
+        if now >= self._bound.until:
+            return Step.END
+        if is_passed_on and answer is not None and answer.is_long():
+            self.renewed = True
+        if self.renewed or now < self.time_up:
+            return Step.WAIT
+        if answer is None or answer.silent_for(now) > SILENT_MOST:
+            return Step.END
+        will_be_long = not answer.says_short() and answer.reaches(LONG + 1, now, self.time_up + LONG_AFTER)
+        if will_be_long and not is_passed_on:
+            return Step.PASS_ON
+        latest = self.time_up + (LONG_AFTER if will_be_long else END_AFTER)
+        return Step.WAIT if now < latest else Step.END
+
+    def look_at(self, now: float) -> float:
+        """When to ask for the next step; infinite where nothing but the end of the process ends it."""
+        if self.renewed:
+            return self._bound.until
+        if now < self.time_up:
+            return self.deadline()
+        latest = self.time_up + (END_AFTER if now < self.time_up + END_AFTER else LONG_AFTER)
+        return min(max(now + 0.001, min(now + LOOK_EVERY, latest)), self._bound.until)
--- a/jaspershelf/transfer_pace.py
+++ b/jaspershelf/transfer_pace.py
@@ -1,8 +1,6 @@
-"""How quickly a transfer goes on: whether an answer is slow, may still be long, or has come to a stand.
+"""How quickly a transfer goes on: what an answer will have brought by when, and what stands still.
 
-An answer of up to 64 KiB is timed by its last byte, a longer one by its first. One of unknown length that
-is still coming in at its request's time is carried on only at a pace at which it is a long one. Each transfer
-has to keep a least pace, so that no peer prolongs it by a byte now and then.
+Only measures; by when a request has to end, and by what, is `request_lease`'s to say.
 """
 
 from __future__ import annotations
@@ -10,23 +8,21 @@
 from math import inf
 
 LONG = 64 << 10  # bytes beyond which an answer is timed by its first byte
-LONG_WITHIN = 2.0  # seconds after its request's time by which an answer that is carried on has to be long
 PACE_SPAN = 0.2  # seconds over which the present pace is measured, at the least
 PACE_PART = 0.25  # of an answer's mean pace, below which it has fallen behind
 SILENT_AFTER = 0.4  # seconds without a byte after which an answer has fallen silent
-TOLD_SILENT_AFTER = 2.0  # the same of an answer whose length tells that it is long
 STEP = 64 << 10  # bytes of a transfer, each further of which has to be moved within a time
 
 
 class AnswerPace:
     """The pace of one answer's body; all times are seconds of one clock, all sizes bytes."""
 
-    __slots__ = ("_begun", "_first", "_last", "_mark", "_since", "size", "told_long")
+    __slots__ = ("_begun", "_first", "_last", "_mark", "_since", "size", "told_size")
 
     def __init__(self, now: float) -> None:
         """`now`: its first line has come."""
         self.size = 0
-        self.told_long = False  # its length is told, and it is long
+        self.told_size: int | None = None  # as its length says; None: it does not say
         self._begun = inf  # when the first of its body came...
         self._first = 0  # ...how much that was...
         self._last = now  # ...and when the last came
@@ -48,26 +44,32 @@
         """Whether so much has come that its first byte is what counts."""
         return self.size > LONG
 
-    def is_slow(self, now: float) -> bool:
-        """Whether it has fallen silent, or comes at less than the pace that makes it long in time."""
-        self._move_mark(now)
-        if now - self._last > SILENT_AFTER:
-            return True
-        return now - self._begun > PACE_SPAN and self._present_pace(now) < LONG / LONG_WITHIN
+    def says_long(self) -> bool:
+        """Whether its length says that it will be."""
+        return self.told_size is not None and self.told_size > LONG
+
+    def says_short(self) -> bool:
+        """Whether its length says that it won't be."""
+        return self.told_size is not None and self.told_size <= LONG
+
+    def silent_for(self, now: float) -> float:
+        """Seconds since a byte of it came."""
+        return now - self._last
+
+    def is_known(self, now: float) -> bool:
+        """Whether it has come for long enough to tell its pace."""
+        return now - self._begun >= PACE_SPAN
 
-    def may_be_long(self, now: float, time_up: float) -> bool:
-        """Whether it is long, or will be in time at its pace; `time_up` is its request's time."""
-        if self.is_long():
+    def reaches(self, size: int, now: float, by: float) -> bool:
+        """Whether so much will have come by then, at the pace at which it comes now."""
+        if self.size >= size:
             return True
-        left = time_up + LONG_WITHIN - now
-        if self._begun == inf or left <= 0.0:
+        if self._begun == inf or self.silent_for(now) > SILENT_AFTER:
             return False
-        if self.told_long:
-            return now - self._last <= TOLD_SILENT_AFTER
         self._move_mark(now)
         mean = self._mean_pace(now)
-        goes_on = now - self._last <= SILENT_AFTER and self._present_pace(now) >= PACE_PART * mean
-        return goes_on and self.size + mean * left > LONG
+        goes_on = self._present_pace(now) >= PACE_PART * mean
+        return goes_on and self.size + mean * max(0.0, by - now) >= size
 
     def _mean_pace(self, now: float) -> float:
         """Bytes a second: of what has come after its first piece, once there was time for more."""
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -345,7 +345,7 @@
         if exchange is not None and self.written and self._parser.get_status_code() == 200:
             exchange.answer()
             if exchange.pace is not None:
-                exchange.pace.told_long = (self._length or 0) > HELD_MOST
+                exchange.pace.told_size = self._length
 
     def _is_stray(self) -> bool:
         """Whether this is rather a second answer to the request before, some milliseconds late.
@@ -375,7 +375,7 @@
         if self._parser.get_status_code() != 200:
             return  # an error's text serves nobody
         self._body += body
-        if max(self._size, self._length or 0) > HELD_MOST:
+        if self._size > HELD_MOST or exchange.may_pass_on():
             self.pass_on()
 
     def _note_pace(self, exchange: Exchange) -> None:
@@ -386,10 +386,6 @@
         """Whether some of the answer's body has come."""
         return self._in_body and self._size > 0
 
-    def is_short(self) -> bool:
-        """Whether the answer's length is told, and is no more than what is held."""
-        return self._length is not None and self._length <= HELD_MOST
-
     def pass_on(self) -> None:
         """Pass on what is held of the answer, and from here on the rest as it comes."""
         exchange = self.exchange
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 from typing import Protocol
 
-from jaspershelf.model import NEVER_RAN, Outcome
+from jaspershelf.model import Outcome
+from jaspershelf.request_lease import RequestLease
 from lugspur.caller import Caller
 from lugspur.exchange import Exchange, Response
 from lugspur.request import Facts, Request
@@ -37,18 +37,20 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "_owner", "caller", "claimed", "deadline", "exchanges", "facts", "last", "name", "passing", "reason",
+        "_owner", "caller", "claimed", "exchanges", "facts", "last", "lease", "name", "passing", "reason",
         "request", "rid", "timer",
     )
 
-    def __init__(self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller) -> None:
+    def __init__(
+        self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller, lease: RequestLease
+    ) -> None:
         self._owner = owner
         self.rid = rid
         self.request = request
         self.name = request.headers.get(b"x-request-id", b"")  # the id that its client gave it
         self.facts = facts
         self.caller: Caller | None = caller  # None once nothing is owed
-        self.deadline = math.inf  # in the loop's time; it has none while the request is still coming in
+        self.lease = lease
         self.exchanges: list[Exchange] = []
         self.claimed = False  # its id is held as one that may run
         self.last = Outcome.VOID  # how its latest attempt ended
@@ -68,9 +70,14 @@
             request.method, request.target, request.lines, max(min(left, self.facts.timeout), 0.001), framing
         )
 
-    def may_have_run(self) -> bool:
-        """Whether any of its attempts has run, or may still run."""
-        return any(row.open or row.outcome not in NEVER_RAN for row in self.exchanges)
+    @property
+    def deadline(self) -> float:
+        """When an answer is owed, in the loop's time; infinite while the request is still coming in."""
+        return self.lease.deadline()
+
+    def passed_on(self) -> Exchange | None:
+        """The attempt whose answer is passed on, or was."""
+        return next((row for row in self.exchanges if row.pass_on is not None), None)
 
     def wanted(self) -> bool:
         """Whether an answer is still owed."""
@@ -84,11 +91,6 @@
         """That answer has fallen silent, or comes slowly."""
         self._owner.slow(self, exchange)
 
-    def may_go_on(self) -> bool:
-        """Whether an answer that is passed on may come in past its time."""
-        passing = (row for row in self.exchanges if row.open and row.pass_on is not None)
-        return any(exchange.paused or exchange.may_go_on() for exchange in passing)
-
     def unsent(self) -> int:
         """Bytes of its answer that its caller has not taken yet."""
         return self.caller.unsent() if self.caller is not None else 0
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -9,18 +9,19 @@
 from typing import TYPE_CHECKING, Protocol
 
 from jaspershelf.model import Outcome
+from jaspershelf.request_lease import AnswerSizes, RequestLease
 from jaspershelf.transfer_pace import AnswerPace, Headway
 from lugspur.body import Body
 
 if TYPE_CHECKING:
     from lugspur.backend_connection import Backend, Connection
 
-STALLED = 8.0  # seconds in which a backend has to carry a transfer on by a step...
-STUCK = 30.0  # ...or its caller has to make room for one: a slow one may empty a full socket in 20
+# Seconds in which a backend has to take a step of a request, or to give anything of an answer...
+STALLED = 8.0
+STUCK = 30.0  # ...or its caller has to make room for a step: a slow one may empty a full socket in 20
 HEADWAY_EVERY = 1.0  # seconds between looks at a transfer
-PACE_EVERY = 0.1  # seconds between looks at an answer that is not long yet
-SILENT_MOST = 2.0  # seconds of its server's silence after which an answer no longer counts as coming in
-WHOLE_BY = 0.3  # seconds after a request's time by which a short answer has to be whole: at 0.5 it is lost
+PACE_EVERY_MOST, PACE_EVERY_LEAST = 0.1, 0.01  # seconds between looks at an answer that is held...
+PACE_EVERY_PART = 0.1  # ...this part of the time that its request had left as it began
 
 
 @dataclass(slots=True)
@@ -59,9 +60,9 @@
     """One attempt on the wire: from its start to its one outcome."""
 
     __slots__ = (
-        "_client", "_headway", "_loop", "_moved", "_timer", "answer_size", "backend", "body", "connection",
-        "deadline", "dial", "head", "name", "number", "once", "open", "outcome", "pace", "pass_on", "paused",
-        "reason", "request_size", "safe", "started", "until",
+        "_client", "_headway", "_loop", "_moved", "_pace_every", "_timer", "answer_size", "backend", "body",
+        "connection", "dial", "head", "lease", "name", "number", "once", "open", "outcome", "pace", "pass_on",
+        "paused", "reason", "request_size", "safe", "sizes", "started", "until",
     )
 
     def __init__(
@@ -73,7 +74,8 @@
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which the first byte of its answer is waited for
-        self.deadline = math.inf  # its request's time, in the loop's
+        self.lease = RequestLease()  # of its request
+        self.sizes = AnswerSizes()  # of its request's class
         self.pace: AnswerPace | None = None  # of a sound answer that is coming in
         self.head = head  # the request's head, given the seconds that are left
         self.body = body
@@ -92,6 +94,7 @@
         self._loop = asyncio.get_running_loop()
         self._moved = 0.0  # when a transfer last made headway
         self._headway = Headway(0.0)
+        self._pace_every = PACE_EVERY_MOST
         self._timer: asyncio.TimerHandle | None = None
 
     def end(self, outcome: Outcome, response: Response | None = None, reason: str = "") -> None:
@@ -128,12 +131,8 @@
 
     # ---- how long it may take -----------------------------------------------------------------
 
-    def limit(self, until: float, deadline: float) -> None:
-        """Wait until then for its answer to begin; with no end while its request is still coming in.
-
-        `deadline` is its request's time.
-        """
-        self.deadline = deadline
+    def limit(self, until: float) -> None:
+        """Wait until then for its answer to begin; with no end while its request is still coming in."""
         if not self.open or self.pace is not None:
             return
         self._unlimit()
@@ -144,34 +143,40 @@
             self._timer = self._loop.call_at(until, self.expire, "nothing came in its time")
 
     def answer(self) -> None:
-        """A sound answer has begun to come in: it may take its request's time, and more at a pace."""
+        """A sound answer has begun to come in: from here on its request's lease is its limit."""
         if self.pace is not None:
             return
-        self.pace = AnswerPace(self._loop.time())
+        self._begin_pace()
         self._begin_checks()
         self._client.answering(self)
 
+    def _begin_pace(self) -> None:
+        now = self._loop.time()
+        self.pace = AnswerPace(now)
+        part = PACE_EVERY_PART * (self.lease.deadline() - now)
+        self._pace_every = min(PACE_EVERY_MOST, max(PACE_EVERY_LEAST, part))
+
     def is_coming_in(self) -> bool:
-        """Whether a part of a sound answer has come, and its server has not fallen silent."""
-        silent = self._loop.time() - self._moved
-        return self.pace is not None and self.connection is not None and (
-            self.connection.has_body() and silent <= SILENT_MOST)
+        """Whether a part of a sound answer has come."""
+        return self.pace is not None and self.connection is not None and self.connection.has_body()
 
-    def carry_on(self) -> bool:
-        """Pass on what has come, and the rest as it comes, of an answer that is long or will be."""
-        if self.connection is None or self.connection.is_short() or not self.may_go_on():
+    def may_pass_on(self) -> bool:
+        """Whether what has come of its answer goes to its caller now."""
+        if self.pace is None:
             return False
-        self.connection.pass_on()
-        return self.pass_on is not None
+        alone = self.once and self.pace.says_long()  # no other server may serve its request
+        return alone or self.lease.passes_on(self._loop.time(), self.pace, self.sizes)
 
-    def may_go_on(self) -> bool:
-        """Whether its answer may come in past its request's time."""
-        return self.pace is not None and self.pace.may_be_long(self._loop.time(), self.deadline)
+    def carry_on(self) -> bool:
+        """Pass on what has come, and the rest as it comes."""
+        if self.connection is not None:
+            self.connection.pass_on()
+        return self.pass_on is not None
 
     def begin(self, response: Response) -> None:
-        """The answer is passed on from here, at the pace that it has to keep."""
+        """The answer is passed on from here."""
         if self.pace is None:
-            self.pace = AnswerPace(self._loop.time())
+            self._begin_pace()
         self.pass_on = self._client.begun(self, response)
         if self.open:
             self._begin_checks()
@@ -197,35 +202,35 @@
     def _check(self) -> None:
         """End a transfer that does not go on: its request is owed an answer, its buffers serve nobody."""
         now = self._loop.time()
-        if self._is_over(now):
-            self.expire("its answer did not come whole, or at its pace, by its request's time")
-            return
-        if self.pace is None and not self._unsent():
-            # It waits for its caller's next bytes, or for the dial: both have their own limits.
-            self._headway = Headway(now, self._moved_bytes())
         is_held = self.pace is not None and self.pass_on is None
-        if is_held:  # its request's time is its limit
-            due = self._moved + STALLED
-        else:
-            due = self._headway.due(now, self._moved_bytes(), STUCK if self.paused else STALLED)
+        if is_held and now >= self.lease.attempt_until():
+            self.expire("its answer did not come whole by the end of its request")
+            return
+        due = self._stands_still_at(now)
         if now >= due:
             self.expire("its transfer came to a stand")
             return
-        every = PACE_EVERY if is_held or self._is_short_so_far() else HEADWAY_EVERY
+        every = self._pace_every if is_held else HEADWAY_EVERY
         self._timer = self._loop.call_at(min(due, now + every), self._check)
-        if is_held and self.pace is not None and self.pace.is_slow(now):
-            self._client.slow(self)
+        if is_held:
+            self._look_at_pace(now)
 
-    def _is_short_so_far(self) -> bool:
-        return self.pace is not None and not self.pace.is_long()
+    def _stands_still_at(self, now: float) -> float:
+        """When its transfer has come to a stand unless something moves."""
+        if self.pace is not None and not self.paused:
+            return self._moved + STALLED
+        if self.pace is None and not self._unsent():
+            # It waits for its caller's next bytes, or for the dial: both have their own limits.
+            self._headway = Headway(now, self._moved_bytes())
+        return self._headway.due(now, self._moved_bytes(), STUCK if self.paused else STALLED)
 
-    def _is_over(self, now: float) -> bool:
-        """Whether an answer that is not long has had its time."""
-        if self.pace is None or self.paused:
-            return False
-        if self.pass_on is None:  # whoever waits for it ends it, or passes it on, before
-            return now > self.deadline + WHOLE_BY + PACE_EVERY
-        return now >= self.deadline and not self.may_go_on()
+    def _look_at_pace(self, now: float) -> None:
+        if self.pace is None:
+            return
+        if self.is_coming_in() and self.may_pass_on():
+            self.carry_on()
+        elif self.lease.is_slow(now, self.pace, self.sizes):
+            self._client.slow(self)
 
     def _moved_bytes(self) -> int:
         """Bytes that have come to where they go: an answer's to its caller, a request's out."""
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -18,6 +18,7 @@
     Outcome,
     Refuse,
     Repeat,
+    RequestClass,
     Send,
     Subscribe,
     Timer,
@@ -25,6 +26,7 @@
 from jaspershelf.overload import MemoryOverload
 from jaspershelf.reconnect import ReconnectBackoff
 from jaspershelf.request_ids import Standing
+from jaspershelf.request_lease import AnswerSizes, RequestLease, Step
 from lugspur import discovery, request_trace
 from lugspur.admin import Admin, Route, page
 from lugspur.backend_list import BackendList
@@ -32,7 +34,7 @@
 from lugspur.caller import Caller
 from lugspur.config import Address, Config
 from lugspur.events import log
-from lugspur.exchange import PACE_EVERY, WHOLE_BY, Exchange, Response
+from lugspur.exchange import Exchange, Response
 from lugspur.front import Front
 from lugspur.interfaces import Figures, Membership, Memory, Shared
 from lugspur.invariants import Invariants
@@ -41,8 +43,9 @@
 from lugspur.operator_orders import OperatorOrders
 from lugspur.order_follower import OrderFollower
 from lugspur.orders import OrderBook, Orders
-from lugspur.proxy_checks import GUARDED, describe, may_repeat, overdue_calls, proxy_checks
+from lugspur.proxy_checks import GUARDED, describe, proxy_checks
 from lugspur.request import ANSWER_EARLY, Facts, Rejected, Request
+from lugspur.request_audit import RequestAudit, overdue_calls
 from lugspur.sent_ids import book_for, refusal
 from lugspur.serial_executor import SerialExecutor
 from lugspur.start_times import StartTimes
@@ -85,12 +88,15 @@
         # Where the list is asked for, the one known at the start holds until then.
         self._holds = config.settings.discovery is Discovery.PUSHED and bool(config.known["endpoints"])
         self._count = 0
+        self._repeats_for = [repeats_for(row) for row in config.settings.classes]
         self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
         self._safe = [row.repeat is Repeat.SAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
         self._overload = MemoryOverload(config.memory)
+        self._answer_sizes = [AnswerSizes() for _ in config.settings.classes]
         self._invariants = Invariants(GUARDED)
+        self._audit = RequestAudit(self._invariants.report)
         self._account = Account(self._overload, self._invariants.report)
         self.sent_ids = book_for(
             config.settings, self._overload.ids_most(), self._account, shared=config.listen_fd is not None)
@@ -148,7 +154,8 @@
             self._discovery.open()
         if config.known["endpoints"]:
             self._loop.call_later(KNOWN_AFTER, self._serve_by_known, self._loop.time() + KNOWN_MOST)
-        self._invariants.add(proxy_checks(self._calls, self._upstream, self._telemetry))
+        self._invariants.add(proxy_checks(
+            self._calls, self._upstream, self._telemetry, lambda: self.front.until))
         self._monitor = Monitor(self._account, self._invariants, config.memory, self._repair)
 
     def _repair(self) -> None:
@@ -156,8 +163,8 @@
         self._discovery.repair()
         self._upstream.repair()
         self._follower.repair()
-        for call in overdue_calls(self._calls, self._loop.time()):
-            self._overdue(call)
+        for call in overdue_calls(self._calls, self._loop.time(), self.front.until):
+            self._expire(call)
 
     def close(self) -> None:
         """Look after the process no more: it ends."""
@@ -314,7 +321,8 @@
 
     def _request(self, request: Request, facts: Facts, caller: Caller) -> None:
         self._count += 1
-        call = Call(self, str(self._count), request, facts, caller)
+        lease = RequestLease(self.front, self._repeats_for[facts.kind])
+        call = Call(self, str(self._count), request, facts, caller, lease)
         self._calls[call.rid] = call
         try:
             self._take(call, request, caller)
@@ -340,7 +348,13 @@
 
     def _admit(self, call: Call) -> None:
         """Give a request to the module, unless its client has left or its time is up."""
-        if call.caller is None or not self._claim(call):
+        if call.caller is None:
+            return
+        if not call.lease.may_start(self._loop.time()):
+            call.reason = "its time was up before it could be sent"
+            self._answer(call, 503, b"", b"refused\n")
+            return
+        if not self._claim(call):
             return
         request, facts = call.request, call.facts
         whole = request.body.whole
@@ -363,8 +377,8 @@
 
     def _date(self, call: Call) -> None:
         """The caller's time runs from the request's last byte."""
-        call.deadline = min(call.request.arrived + call.facts.timeout - ANSWER_EARLY, self.front.until)
-        call.timer = self._loop.call_at(call.deadline, self._overdue, call)
+        call.lease.grant(call.request.arrived + call.facts.timeout - ANSWER_EARLY)
+        self._look_later(call)
 
     def _arrived(self, call: Call) -> None:
         """The rest of a request has come."""
@@ -373,7 +387,7 @@
         self._date(call)
         self._perform(self._decide(self._balancer.arrived, call.rid, call=call))
         for exchange in call.exchanges:
-            exchange.limit(call.deadline, call.deadline)
+            exchange.limit(call.deadline)
 
     def _gone(self, call: Call) -> None:
         trace.record("request.client_left", id=call.name, attempts=len(call.exchanges))
@@ -385,11 +399,32 @@
                 exchange.end(Outcome.CANCELLED, reason="its client left")
 
     def _overdue(self, call: Call) -> None:
-        """The client's time is up: an answer is owed now, whatever the module says."""
-        if call.deadline == math.inf:  # its last byte may have come, and has not been read
-            call.deadline = self._loop.time()
-        elif not call.passing and self._carries_on(call):
-            return
+        """The time of a request that is still coming in is up: its last byte may have come, unread."""
+        if call.deadline == math.inf:
+            call.lease.grant(self._loop.time())
+        self._expire(call)
+
+    def _look(self, call: Call) -> None:
+        """Do what its lease says about a request now."""
+        now = self._loop.time()
+        coming = [row for row in call.exchanges if row.is_coming_in() and (row.pass_on or not call.passing)]
+        steps = [(call.lease.step(now, row.pace, call.passing), row) for row in coming]
+        passed_on = any(step is Step.PASS_ON and row.carry_on() for step, row in steps)
+        waits = Step.WAIT in [call.lease.step(now, None, call.passing), *(step for step, _ in steps)]
+        if passed_on or waits:
+            self._look_later(call)
+        else:
+            self._expire(call)
+
+    def _look_later(self, call: Call) -> None:
+        """Look again when its lease says so."""
+        if call.timer is not None:
+            call.timer.cancel()
+        at = call.lease.look_at(self._loop.time())
+        call.timer = self._loop.call_at(at, self._look, call) if at < math.inf else None
+
+    def _expire(self, call: Call) -> None:
+        """The client's time is up: an end is owed now, whatever the module says."""
         call.reason = "its time is up"
         self._decide(self._balancer.expire, call.rid)
         for exchange in tuple(call.exchanges):
@@ -397,22 +432,9 @@
         if call.caller is not None:
             self._abandon(call)
 
-    def _carries_on(self, call: Call) -> bool:
-        """Whether an answer that is coming in is passed on, or may still come whole before it is lost."""
-        latest, now = call.deadline + WHOLE_BY, self._loop.time()
-        coming = [exchange for exchange in call.exchanges if exchange.is_coming_in()]
-        if call.caller is None or latest > self.front.until or not coming:
-            return False
-        if any(exchange.carry_on() for exchange in coming):
-            return True
-        if now >= latest:
-            return False
-        call.timer = self._loop.call_at(min(latest, now + PACE_EVERY), self._overdue, call)
-        return True
-
     def _abandon(self, call: Call) -> None:
         """Fail a request that the module did not answer, and tell it so."""
-        status = 504 if call.request.body.whole or call.may_have_run() else 503
+        status = 504 if call.request.body.whole or call.lease.may_have_run() else 503
         self._answer(call, status if self._loop.time() >= call.deadline else 500, b"", b"")
         self._perform(self._decide(self._balancer.gone, call.rid))
         for exchange in tuple(call.exchanges):
@@ -425,12 +447,16 @@
             return
         request_trace.request_answered(call, status)
         if call.passing:
+            self._audit.cut(call, self.front.until)
             caller.cut()
         else:
             caller.answer(status, head, body)
 
     def _settle(self, call: Call) -> None:
         """Nothing is owed any more."""
+        if call.caller is not None:
+            self._audit.ended(call)
+        call.lease.end()
         call.caller = None
         if call.timer is not None:
             call.timer.cancel()
@@ -441,7 +467,7 @@
         if done and self._calls.pop(call.rid, None) is not None:
             call.request.release()
             if call.claimed:
-                self.sent_ids.settle(self._loop.time(), call.name, call.may_have_run())
+                self.sent_ids.settle(self._loop.time(), call.name, call.lease.may_have_run())
 
     # ---- the module's actions ----------------------------------------------------------------
 
@@ -480,28 +506,44 @@
             self._answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def _send(self, call: Call, action: Send) -> None:
-        unsafe = self._once[call.facts.kind]
-        if call.exchanges and not may_repeat(call, unsafe):
-            self._invariants.report("send_repeated", describe(call.exchanges[-1]))
+        now = self._loop.time()
+        exchange = self._new_exchange(call, action, now)
+        refused = self._refuses_attempt(call, now)
+        call.exchanges.append(exchange)
+        if refused:
+            self._loop.call_soon(exchange.end, Outcome.VOID, None, refused)
             return
+        call.lease.attempt_began(exchange.number, now)
+        request_trace.attempt_chosen(call, exchange, discovery.server_name(action.server))
+        try:
+            self._upstream.start(exchange)
+        except Exception:
+            exchange.broke("a fault here")  # Guards the request: the module waits for how this attempt ends.
+            raise
+
+    def _refuses_attempt(self, call: Call, now: float) -> str:
+        """Why an attempt may not begin; empty where it may."""
         if not call.claimed:
             self._invariants.report("send_unclaimed", repr(call.name))
-        now = self._loop.time()
+        if call.lease.may_attempt(now):
+            return ""
+        if call.lease.ended:
+            self._invariants.report("send_after_end", repr(call.name))
+        elif call.lease.may_start(now):
+            self._invariants.report("send_repeated", describe(call.exchanges[-1]))
+        return "its request may not be sent now"
+
+    def _new_exchange(self, call: Call, action: Send, now: float) -> Exchange:
         until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
         exchange = Exchange(
             call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
-            call.request.body, unsafe or not call.request.body.whole,
+            call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
         )
         exchange.name = call.name
-        exchange.deadline = call.deadline
+        exchange.lease = call.lease
+        exchange.sizes = self._answer_sizes[call.facts.kind]
         exchange.safe = self._safe[call.facts.kind]
-        request_trace.attempt_chosen(call, exchange, discovery.server_name(action.server))
-        call.exchanges.append(exchange)
-        try:
-            self._upstream.start(exchange)
-        except Exception:
-            exchange.broke("a fault here")  # Guards the request: the module waits for how this attempt ends.
-            raise
+        return exchange
 
     def answering(self, call: Call, exchange: Exchange) -> None:
         """A sound answer has begun to come in."""
@@ -522,8 +564,6 @@
             return None
         call.passing = True
         request_trace.answer_passed_on(call, exchange, response, self._loop.time())
-        if call.timer is not None:
-            call.timer.cancel()
         caller.begin(exchange, response)
         self._perform(self._decide(
             self._balancer.begun, call.rid, exchange.number, self._latency(call, exchange), call=call
@@ -540,6 +580,9 @@
         """An attempt is over: answer with what it brought, and tell the module."""
         request_trace.attempt_ended(call, exchange, outcome)
         call.last = outcome
+        call.lease.attempt_ended(exchange.number, outcome)
+        if outcome is Outcome.OK and exchange.pace is not None:
+            self._answer_sizes[call.facts.kind].note(exchange.pace.size)
         if outcome is Outcome.OK and exchange.pass_on is not None:
             self._finish(call)
         elif outcome is Outcome.OK and response is not None:
@@ -555,3 +598,10 @@
         self._settle(call)
         if caller is not None:
             caller.finish()
+
+
+def repeats_for(kind: RequestClass) -> float:
+    """Seconds after a first attempt that may have run in which others may begin."""
+    if kind.repeat is Repeat.SAFE:
+        return math.inf
+    return kind.window if kind.repeat is Repeat.KEYED else 0.0
--- a/lugspur/proxy_checks.py
+++ b/lugspur/proxy_checks.py
@@ -3,34 +3,26 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
-from jaspershelf.model import NEVER_RAN
 from lugspur.call import Call
 from lugspur.exchange import Exchange
 from lugspur.invariants import Check
+from lugspur.request_audit import AUDITED, overdue_calls
 from lugspur.telemetry import Telemetry
 from lugspur.upstream import Upstream
 
-LATE_MOST = 0.5  # seconds after a request's time until which its answer is only late
-GUARDED = ("send_unclaimed", "send_repeated", "send_withdrawn", "answer_not_owed", "close_owing")
-
-
-def may_repeat(call: Call, unsafe: bool) -> bool:
-    """Whether another attempt may begin: of a request that must not run twice, none before may have run."""
-    return not unsafe or all(
-        not exchange.open and exchange.outcome in NEVER_RAN for exchange in call.exchanges
-    )
+GUARDED = ("send_unclaimed", "send_repeated", "send_withdrawn", "answer_not_owed", "close_owing", *AUDITED)
 
 
 def proxy_checks(
-    calls: Mapping[str, Call], upstream: Upstream, telemetry: Telemetry
+    calls: Mapping[str, Call], upstream: Upstream, telemetry: Telemetry, process_until: Callable[[], float]
 ) -> dict[str, Check]:
-    """The periodic checks by name."""
+    """The periodic checks by name; `process_until` tells when the process ends all that is open."""
     loop = asyncio.get_running_loop()
 
     def overdue() -> str:
-        late = overdue_calls(calls, loop.time())
+        late = overdue_calls(calls, loop.time(), process_until())
         return f"{len(late)} requests are unanswered after their time, {late[0].name!r} first" if late else ""
 
     def connections() -> str:
@@ -42,14 +34,6 @@
     return {"request_overdue": overdue, "connections": connections, "concurrent": concurrent}
 
 
-def overdue_calls(calls: Mapping[str, Call], now: float) -> list[Call]:
-    """The requests whose time is up and whose answer is owed, passed on or not, unless it is a long one."""
-    return [
-        call for call in calls.values()
-        if call.wanted() and now > call.deadline + LATE_MOST and not (call.passing and call.may_go_on())
-    ]
-
-
 def describe(exchange: Exchange) -> str:
     """An attempt, in words for the log."""
     return f"attempt {exchange.number} of {exchange.name!r}"
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -81,7 +81,7 @@
 
     def start(self, exchange: Exchange) -> None:
         """Send an attempt, on a new connection if none is idle; its outcome is reported later."""
-        exchange.limit(exchange.until, exchange.deadline)
+        exchange.limit(exchange.until)
         self._after_news(self._connect, exchange)
 
     def _after_news(self, step: Callable[..., None], *args: object, reads: int = READS_MOST) -> None:
@@ -200,8 +200,9 @@
         """Write the first byte, if the attempt still may go out."""
         # Guards drains, time-outs, finished requests and those whose client has left, also where nothing may
         # be cancelled: dialling took time, and the world has moved on.
-        left = exchange.until - self._loop.time()
-        wanted = exchange.open and left > 0.0 and exchange.wanted()
+        now = self._loop.time()
+        left = exchange.until - now
+        wanted = exchange.open and left > 0.0 and exchange.lease.may_start(now) and exchange.wanted()
         if not wanted or not exchange.backend.in_service:
             self.release(connection)
             reason = "its server is withdrawn" if wanted else "its time was up, or nobody waited"
--- /dev/null
+++ b/tests/test_request_lease.py
@@ -0,0 +1,129 @@
+"""By when a request ends, and by what: the lease alone, on a driven clock, held to the terms."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+from math import inf
+
+import pytest
+from hostile.answer_grid import PACES, SIZES, WAITS
+from terms import LATE_MOST, LONG, Given
+
+from jaspershelf.model import Outcome
+from jaspershelf.request_lease import AnswerSizes, RequestLease, Step
+from jaspershelf.transfer_pace import AnswerPace
+
+TICK = 0.01  # seconds between pieces
+WATCHED = 3.0  # seconds after its time for which a request is played
+
+
+@dataclass
+class Process:
+    """What bounds all leases."""
+
+    until: float = inf
+
+
+@dataclass
+class Played:
+    """How a request ended."""
+
+    passed_on_at: float = inf
+    ended_at: float = inf
+    whole: bool = False
+
+
+def play(given: Given, wait: float, tells: bool, process: Process | None = None) -> Played:
+    """Drive one request, sent at 0, whose answer comes evenly and is looked at when its lease says so."""
+    process = process or Process()
+    lease, pace, played = RequestLease(process), AnswerPace(0.0), Played()
+    lease.grant(wait)
+    pace.told_size = given.size if tells else None
+    look_at, now = lease.look_at(0.0), 0.0
+    while now < wait + WATCHED:
+        now += TICK
+        pace.came(now, int(given.by(now)))
+        if pace.size == given.size:
+            played.ended_at, played.whole = now, True
+            return played
+        if played.passed_on_at == inf and lease.passes_on(now, pace, AnswerSizes()):
+            played.passed_on_at = now
+        if now < min(look_at, process.until):
+            continue
+        step = lease.step(now, pace, played.passed_on_at < inf)
+        if step is Step.END:
+            played.ended_at = now
+            return played
+        if step is Step.PASS_ON:
+            played.passed_on_at = now
+        look_at = lease.look_at(now)
+    return played
+
+
+@pytest.mark.parametrize("tells", [True, False])
+def test_each_cell_of_the_grid_ends_in_its_time_and_what_is_long_is_never_cut(tells: bool) -> None:
+    for pace, size, wait in itertools.product(PACES, SIZES, WAITS):
+        given, where = Given(pace, size), (pace, size, wait)
+        played = play(given, wait, tells)
+        if given.size > LONG and given.by(wait + LATE_MOST - 0.1) > LONG:
+            assert played.whole or played.ended_at == inf, where
+            first = min(played.passed_on_at, played.ended_at)
+            assert first <= wait + 2 * TICK, where
+        elif given.takes() <= wait - 0.1:
+            assert played.whole, where
+        elif given.by(wait + LATE_MOST + 0.1) <= LONG:
+            assert played.ended_at <= wait + LATE_MOST, where
+
+
+@pytest.mark.parametrize("until", [0.2, 0.7, 1.2, 2.5])
+def test_nothing_outlives_the_end_of_the_process(until: float) -> None:
+    for pace, tells in itertools.product(PACES, [True, False]):
+        assert play(Given(pace, 8 << 20), 1.0, tells, Process(until)).ended_at <= until + TICK
+
+
+@pytest.mark.parametrize(("come", "told", "sizes", "slow"), [
+    (30e3, None, [], True), (30e3, 29_000, [], False), (30e3, 60_000, [], True),
+    (45e3, None, [], True), (45e3, 1 << 20, [], False), (30e3, 1 << 20, [], True),
+    (70e3, None, [], False), (30e3, None, [20_000], True), (10e3, None, [9_000], False),
+    (50e3, None, [100_000] * 9, False), (30e3, None, [100_000] * 9, True),
+])
+def test_slow_is_what_will_be_neither_whole_nor_long_in_time(
+    come: float, told: int | None, sizes: list[int], slow: bool
+) -> None:
+    """`come`: bytes a second; looked at after 0.7 s of one second."""
+    lease, pace, seen = RequestLease(), AnswerPace(0.0), AnswerSizes()
+    lease.grant(1.0)
+    pace.told_size = told
+    for size in sizes:
+        seen.note(size)
+    for step in range(1, 71):
+        pace.came(step * TICK, int(come * step * TICK))
+    assert lease.is_slow(0.7, pace, seen) == slow
+
+
+@pytest.mark.parametrize(("repeats_for", "first", "at", "may"), [
+    (inf, Outcome.BROKEN, 0.9, True), (0.0, Outcome.BROKEN, 0.2, False), (0.0, Outcome.FULL, 0.2, True),
+    (0.0, None, 0.2, False), (inf, None, 0.2, True), (0.5, Outcome.ERROR, 0.4, True),
+    (0.5, Outcome.ERROR, 0.6, False), (0.5, Outcome.UNREACHABLE, 0.6, True),
+    (inf, Outcome.BROKEN, 1.0, False),
+])
+def test_another_attempt_begins_only_where_no_effect_is_had_twice(
+    repeats_for: float, first: Outcome | None, at: float, may: bool
+) -> None:
+    """`first`: the outcome of an attempt that began at 0; None: it is still out."""
+    lease = RequestLease(repeats_for=repeats_for)
+    lease.grant(1.0)
+    assert lease.may_attempt(0.0)
+    lease.attempt_began(0, 0.0)
+    if first is not None:
+        lease.attempt_ended(0, first)
+    assert lease.may_attempt(at) == may
+
+
+def test_nothing_begins_after_the_end() -> None:
+    lease = RequestLease()
+    lease.grant(1.0)
+    assert lease.may_start(0.5)
+    lease.end()
+    assert not lease.may_start(0.5) and not lease.may_attempt(0.5)
