What is open at the end of a process ends visibly before SIGKILL may come

Callers saw: answers that were being passed on, and answers that were not read, still open at SIGKILL; the process did not end by itself. Cause: the process's end bound only requests that were dated after SIGTERM; what was passed on had no timer, and a lingering close had 30 s. Change: 0.2 s before the earliest SIGKILL each open request's lease is asked, which ends it; 0.1 s later each connection that is left is ended, by a reset where some of an answer is unsent, since a plain close would look like the end of one that its connection's end tells.

--- a/lugspur/answer_framing.py
+++ b/lugspur/answer_framing.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import struct
+from contextlib import suppress
 from http import HTTPStatus
 
 from lugspur.exchange import Response
@@ -50,5 +51,6 @@
 def reset(transport: asyncio.WriteTransport) -> None:
     """Reset a connection: without framing a plain close would be an answer's end."""
     sock = transport.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    with suppress(OSError):  # its peer may have reset it already
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     transport.abort()
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -163,7 +163,10 @@
             trace.record("caller.aborted", reason=reason)
         self._front.callers.discard(self)
         self._front.lingering.pop(self, None)
-        self._transport.abort()
+        if self.unsent():  # a plain close might look like the end of an answer
+            reset(self._transport)
+        else:
+            self._transport.abort()
 
     def pause_writing(self) -> None:
         self._full = True
--- a/lugspur/front.py
+++ b/lugspur/front.py
@@ -17,6 +17,7 @@
 from lugspur.telemetry import Telemetry
 
 LINGERERS = 8  # of them beyond the limit on callers, of the spare descriptors; the next one ends the oldest
+LEAVE_AFTER = 0.1  # seconds after the last answers in which callers may still take them
 BACKLOG = 1024  # connections that may wait to be accepted
 # Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
 # be left, nor a request of the last 2 s, and closing one early crosses more requests.
@@ -41,6 +42,7 @@
         self.closing = False  # answers close their connection
         self.drained = False  # operators have sent callers elsewhere, for a time
         self.until = math.inf  # in the loop's time: all that is taken has to be answered by then
+        self.end_requests: Callable[[], None] = lambda: None  # those that are still open get their end now
         self._letting_go: asyncio.TimerHandle | None = None
         self.callers: set[Caller] = set()
         self.waiting: dict[Caller, None] = {}  # those that owe no answer, the longest waiting first
@@ -111,6 +113,14 @@
         """Accept nothing more; the queue is the other process's, and only the own descriptor is closed."""
         self._acceptor.close()
 
+    def end_due(self, now: float) -> None:
+        """End what is still open once the end of the process is near: first requests, then connections."""
+        if now >= self.until:
+            self.end_requests()
+        if now >= self.until + LEAVE_AFTER:
+            for caller in tuple(self.callers):
+                caller.abort("the process ends")
+
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
         self.closing = True
--- a/lugspur/process.py
+++ b/lugspur/process.py
@@ -164,6 +164,7 @@
     """Close what is idle, and wait until all callers have had their answers and are gone."""
     front.close()
     while front.callers:
+        front.end_due(asyncio.get_running_loop().time())
         await rest(0.01)
 
 
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -109,6 +109,7 @@
         self._backends = self._list.backends
         self._telemetry = Telemetry([row.name for row in config.settings.classes])
         self.front = Front(config, callers, self._request, self._telemetry, self._account)
+        self.front.end_requests = self.end_requests
         self.operators = OperatorOrders(
             config.listen_fd is not None, self._orders, self._balancer, self.front,
             lambda edit: self._follower.order(edit))
@@ -423,6 +424,12 @@
         at = call.lease.look_at(self._loop.time())
         call.timer = self._loop.call_at(at, self._look, call) if at < math.inf else None
 
+    def end_requests(self) -> None:
+        """The process ends: whatever is open gets its end now."""
+        for call in tuple(self._calls.values()):
+            if call.caller is not None:
+                self._look(call)
+
     def _expire(self, call: Call) -> None:
         """The client's time is up: an end is owed now, whatever the module says."""
         call.reason = "its time is up"
