--- a/tests/test_shutdown_answers.py
+++ b/tests/test_shutdown_answers.py
@@ -46,7 +46,7 @@
 def play(
     folder: Path, given: Given, framing: Framing, reads: bool
 ) -> tuple[list[Observation], float, int]:
-    """Requests before and after SIGTERM; what their clients saw, when SIGKILL was due, and the exit status."""
+    """Requests before and after SIGTERM; what clients saw, when SIGKILL was due, and the exit status."""
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             request = await reader.readuntil(b"\r\n\r\n")
