What is read of a pipeline is answered: reading stops in place of dropping what was read

Callers saw: of 60 or 200 small requests in one write 32 answers, then the connection's end; 28 and 168 were read and never answered. Change: what is read is parsed a piece at a time and no further once enough waits; the rest of the read is kept in order (lugspur/read_ahead.py), dated by when it came, and nothing more is read until it has been parsed. While the process lets its callers go, what was read is still answered. Tests replaced: the one that asked for 32 answers and a close asks for all of 192 in turn with the queue bounded, while the process stays and while it ends; the flood is held to a bound in bytes in place of being dropped.

--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -18,6 +18,7 @@
 from lugspur.incoming_limit import IncomingLimit
 from lugspur.linger import LINGER, LingerLimit
 from lugspur.memory import OUT_OF_MEMORY, READ_BUFFER, REQUEST_COST, CallerHoldings, Purpose
+from lugspur.read_ahead import PIECE, ReadAhead, piece_size
 from lugspur.request import (
     Rejected,
     Request,
@@ -34,8 +35,8 @@
     from lugspur.front import Front
 
 HEAD_MOST = 64 << 10  # bytes of a request's head, and of what stands between the parts of its body
-AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that a caller may send behind a request that is being served...
-QUEUED_MOST = 32  # ...and whole requests
+AHEAD_MOST = HEAD_MOST + HELD_MOST  # bytes that are held of what waits behind a request...
+QUEUED_MOST = 32  # ...and whole requests, beyond which nothing more is parsed or read
 SPENT = httptools.HttpRequestParser(object())  # in place of one whose connection reads no more
 
 
@@ -57,7 +58,6 @@
         self._framing = AnswerFraming()  # ...and how
         self._dropping = False  # what further comes in is read and dropped...
         self._dropped = 0  # ...so many bytes lately
-        self._ahead = 0  # bytes that have come since the request that is being served was taken up
         self._due: asyncio.TimerHandle | None = None  # the next request is taken up
         self._next_look: asyncio.TimerHandle | None = None  # of a lingering close
         self._continue_due = False  # the caller waits to be told to send its body
@@ -79,6 +79,7 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         self._arrival = ArrivalBound(transport.get_extra_info("socket"), self._waiting_since)
+        self._read_ahead = ReadAhead(self._arrival.has_ended, self.eof_received)
         self.limit = IncomingLimit(self, self._arrival)
         self._held.open(self)
         self._front.admit(self)
@@ -96,6 +97,7 @@
         self.limit.close()
         if self._next_look is not None:
             self._next_look.cancel()
+        self._read_ahead.close()
         self._unread = None
         self._held.close(self)
 
@@ -234,23 +236,62 @@
             self._dropped += nbytes
             return
         self._arrival.read()
-        self._take_in(nbytes)
+        self._take_in(READ_BUFFER[:nbytes])
         self._arrival.taken_up(nbytes)
-        if self._input.rests() or self._is_throttled():
+        if self._input.rests() or self._is_throttled() or self._read_ahead:
             self._arrival.paused()
 
     def _is_throttled(self) -> bool:
         return self._incoming is not None and self._incoming.body.throttled
 
-    def _take_in(self, nbytes: int) -> None:
-        self._head_size += nbytes
-        if self._serving is not None and self._serving is not self._incoming:
-            self._ahead += nbytes
-            if self._ahead > AHEAD_MOST:  # Guards memory: to read no more would hide that the caller leaves.
-                self._take_no_more()
-                return
+    def _take_in(self, data: memoryview) -> None:
+        """Parse what has been read, as far as there is room for what comes of it, and keep the rest."""
+        parsed = 0 if self._read_ahead else self._parse_pieces(data)
+        if parsed < len(data) and not self._dropping:
+            self._read_ahead.keep(data[parsed:], self._arrival.last_arrival())
+            self._transport.pause_reading()
+        if not self._is_throttled() and not self._read_ahead:
+            self._input.read(len(data), self._transport)
+        self._note_head(PIECE if self._read_ahead else len(data))
+        self._after_parsing()
+
+    def _parse_pieces(self, data: memoryview) -> int:
+        """Parse a piece at a time until no more may wait; how many bytes were parsed."""
+        parsed = 0
+        while parsed < len(data) and not self._dropping and not self._is_full():
+            size = piece_size(self._incoming.body if self._incoming is not None else None)
+            self._parse(data[parsed:parsed + size])
+            parsed = min(len(data), parsed + size)
+        return parsed
+
+    def _is_full(self) -> bool:
+        """Whether as much waits behind a request as may: guards memory."""
+        behind = self._serving is not None and self._serving is not self._incoming
+        if not self._queue or not (behind or self._queue[0] is not self._incoming):
+            return False
+        incoming = self._incoming
+        is_large = incoming is not None and incoming.body.size > HELD_MOST
+        if is_large or len(self._queue) >= QUEUED_MOST:
+            return True
+        held = sum(request.held() for request in self._queue)
+        return held + (incoming.held() if incoming is not None else 0) > AHEAD_MOST
+
+    def _parse_kept(self) -> None:
+        """Parse what was read before, as far as there is room by now; read on once that is all."""
+        while self._read_ahead and not self._dropping and not self._is_full() and not self._is_throttled():
+            body = self._incoming.body if self._incoming is not None else None
+            self._parse(self._read_ahead.take(piece_size(body)))
+        self._read_ahead.settle()
+        self._input.parts = 0  # they belong to reads that have been judged
+        self._note_head(0)
+        self._after_parsing()
+        if not self._read_ahead and not self._is_throttled() and not self._input.rests():
+            self._transport.resume_reading()
+
+    def _parse(self, data: memoryview) -> None:
+        self._head_size += len(data)
         try:
-            self._feed(READ_BUFFER[:nbytes])
+            self._feed(data)
             if self._incoming is not None:
                 self._incoming.body.flush()
         except httptools.HttpParserCallbackError as fault:  # a fault of ours, not the caller's
@@ -260,9 +301,12 @@
             self._reject(400, "the request is malformed")
         if self._head_size > HEAD_MOST:  # Guards the memory limit.
             self._reject(413, "the request is too large")
-        self._held.head.set((self._head_size or nbytes) if self.begun else 0)
-        if not self._is_throttled():
-            self._input.read(nbytes, self._transport)
+
+    def _note_head(self, read: int) -> None:
+        """Account for what is held of heads, `read` bytes having just come."""
+        self._held.head.set(((self._head_size or read) if self.begun else 0) + len(self._read_ahead))
+
+    def _after_parsing(self) -> None:
         self.take_up()
         if self.begun and not self._dropping:
             self.limit.begin()
@@ -287,7 +331,7 @@
         """Whether it is for the proxy that no more comes."""
         behind = self._serving is not None and bool(self._queue)  # others come first, and nothing is read
         resting = self._incoming is not None and self._incoming.is_timed() and self._input.rests()
-        return behind or self._continue_due or self._is_throttled() or resting
+        return behind or self._continue_due or self._is_throttled() or resting or bool(self._read_ahead)
 
     def ends_by(self) -> float:
         """The loop's time by which all that has come has to be answered."""
@@ -325,6 +369,7 @@
         self._dropping = True
         self.begun = self._continue_due = False
         self.limit.end()
+        self._read_ahead.clear()
         self._parser = SPENT  # the one before keeps what it has read of a head
         self._head_size = 0
         self._held.head.set(0)
@@ -397,10 +442,7 @@
         if request.body.size > BODY_MOST:
             self._reject(413, "the body is too large")
         elif before <= HELD_MOST < request.body.size:
-            if self._serving is not None:  # Guards memory, as in `buffer_updated`
-                self._take_no_more()
-                return
-            self._queue.append(request)  # the rest is passed on as it comes
+            self._queue.append(request)  # the rest is passed on as it comes, once it is taken up
 
     def on_message_complete(self) -> None:
         request, self._incoming = self._incoming, None
@@ -410,15 +452,13 @@
         self._continue_due = False
         self._head_size = 0
         self.limit.end()
-        request.arrived = self._arrival.last_arrival()
+        request.arrived = min(self._read_ahead.arrived, self._arrival.last_arrival())
         unread_for = self._loop.time() - request.arrived
         if unread_for > UNSURE:
             trace.record("request.unread", id=request.headers.get(b"x-request-id", b""),
                          seconds=round(unread_for, 3))
         if request.body.size <= HELD_MOST:
             self._queue.append(request)
-            if len(self._queue) == QUEUED_MOST:  # Guards memory, as in `buffer_updated`
-                self._take_no_more()
             request.body.finish()
             return
         if request is self._serving and self._kind is not None:
@@ -430,6 +470,8 @@
         if waits:
             self._transport.pause_reading()
             self._arrival.paused()
+        elif self._read_ahead:
+            self._loop.call_soon(self._parse_kept)
         elif not self._input.rests():
             self._transport.resume_reading()
 
@@ -453,7 +495,6 @@
         if not self._queue:
             return
         self._serving = request = self._queue.popleft()
-        self._ahead = 0
         self._keep_alive = request.keep_alive
         try:
             self._dispatch(request)
@@ -465,6 +506,8 @@
             log.error("caller.fault", exc_info=True)
             if self._serving is request:
                 self.answer(500, b"", b"a fault in the proxy\n")
+        if self._read_ahead:
+            self._parse_kept()
 
     def _dispatch(self, request: Request) -> None:
         if request.fault is not None:
@@ -501,10 +544,11 @@
         self._end(status, keep)
 
     def _keeps(self) -> bool:
-        """Whether the connection outlives the answer to this request; one behind it is still answered."""
-        if self._front.closing and self._incoming is not self._serving:
+        """Whether the connection outlives the answer to this request; what was read behind it is answered."""
+        if self._front.closing and self._incoming is not self._serving and not self._read_ahead:
             self._take_no_more()
-        return self._keep_alive and (bool(self._queue) or not (self._dropping or self._front.closing))
+        behind = bool(self._queue) or bool(self._read_ahead)
+        return self._keep_alive and (behind or not (self._dropping or self._front.closing))
 
     def begin(self, source: Exchange, response: Response) -> None:
         """Write the beginning of an answer that comes bit by bit, framed as its caller can read it."""
@@ -547,7 +591,10 @@
             self.close(closing_reason(self._front.closing, status, request))
             return
         self._front.waiting[self] = None
-        self._transport.resume_reading()
+        if self._read_ahead:
+            self._parse_kept()
+        else:
+            self._transport.resume_reading()
         if self._queue:
             self.take_up()
         elif self._continue_due:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,11 +29,13 @@
 )
 
 from jaspershelf.model import Limits
+from jaspershelf.overload import READ_MOST
 from lugspur.body import HELD_MOST
 from lugspur.caller import AHEAD_MOST, QUEUED_MOST, Caller
 from lugspur.exchange import STUCK
 from lugspur.front import LINGERERS
 from lugspur.linger import LINGER
+from lugspur.read_ahead import PIECE
 
 
 def raw(port: int) -> socket.socket:
@@ -216,9 +218,10 @@
             client.writer.write(book(1))
             await soon(one.got.get())
             [caller] = up.proxy.front.callers
-            client.writer.write(book(2, body=b"x" * 4000) * (2 * AHEAD_MOST // 4000))
-            await until(lambda: caller._dropping)
-            assert len(caller._queue) <= QUEUED_MOST
+            client.writer.write(book(2, body=b"x" * 4000) * (16 * AHEAD_MOST // 4000))
+            await until(lambda: not caller._transport.is_reading())
+            assert not caller._dropping and len(caller._queue) <= QUEUED_MOST
+            assert caller.held() <= 2 * AHEAD_MOST
             client.writer.close()
             await soon(one.ended.get())
             await until(lambda: not up.proxy.front.callers)
@@ -227,16 +230,41 @@
     asyncio.run(play())
 
 
-def test_of_many_requests_at_once_those_taken_are_answered_and_the_last_says_so() -> None:
+@pytest.mark.parametrize("closing", [False, True])
+def test_of_many_requests_at_once_each_is_answered_in_turn_and_few_are_held(closing: bool) -> None:
+    """While the process lets its callers go, each that was read."""
+    async def play() -> None:
+        async with backend(lambda request: OK) as one, running([entry("a", one.address)]) as up:
+            client = await up.client()
+            sent = b"".join(read(n) for n in range(6 * QUEUED_MOST))
+            assert len(sent) < READ_MOST, "one read brings all of it"
+            client.writer.write(sent)
+            await soon(one.got.get())
+            [caller] = up.proxy.front.callers
+            up.proxy.front.closing = closing
+            for _ in range(6 * QUEUED_MOST):
+                assert len(caller._queue) <= QUEUED_MOST + PIECE // len(read(1)) + 1
+                assert status(await client.answer()) == 200
+            assert one.got.qsize() == 6 * QUEUED_MOST - 1
+            if closing:
+                assert await soon(client.reader.read()) == b""
+            else:
+                assert status(await client.ask(read(1000))) == 200
+
+    asyncio.run(play())
+
+
+def test_a_large_body_behind_another_request_waits_for_its_turn() -> None:
     async def play() -> None:
         async with backend(lambda _: OK) as one, running([entry("a", one.address)]) as up:
             client = await up.client()
-            client.writer.write(b"".join(read(n) for n in range(3 * QUEUED_MOST)))
-            answers = [await client.answer()]
-            while b"Connection: close\r\n" not in answers[-1]:
-                answers.append(await client.answer())
-            assert await soon(client.reader.read()) == b""
-            assert len(answers) == one.got.qsize() == QUEUED_MOST
+            client.writer.write(book(1) + book(2, body=b"x" * 20 * HELD_MOST) + book(3))
+            for number in (1, 2, 3):
+                assert status(await client.answer()) == 200, number
+            got = [one.got.get_nowait() for _ in range(3)]
+            assert [len(request) > 20 * HELD_MOST for request in got] == [False, True, False]
+
+    asyncio.run(play())
 
     asyncio.run(play())
 
