An answer that a connection has brought before serves no other request while another may come

Callers saw: the body of another request, where a server that was sound so far answers a second time 10 to 30 ms late. Cause: after 32 good rests a server's connections need none, so a late second answer met the next request; the guards looked at times alone, and a late one comes as any answer does. Change: answers are known by a digest of all but the time of day. One that is among the last four of its connection, and that no other connection has brought, is held until another comes, for 0.1 s or four times the server's usual time: a second one is the request's own, and the first serves nobody; if none comes, the first is its own, and is not doubted again. Sound servers with distinct answers wait for nothing, those with a fixed page once at the most.

--- a/jaspershelf/repeated_answers.py
+++ b/jaspershelf/repeated_answers.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from math import inf
 
 REST = 0.01  # seconds after an answer in which a second one may come
@@ -17,6 +18,10 @@
 NEW_EVERY = 4  # times that no connection has rested, of which one has another made
 SMOOTHING = 8.0  # answers over which a server's usual time is smoothed
 EARLY_PART = 0.5  # of its server's usual time, under which an answer may be a second one
+REMEMBERED = 4  # answers of one connection that the next one is compared with
+COMMON_MOST = 256  # answers of all servers that are remembered as what more than one request may get
+DOUBT_LEAST = 0.1  # seconds after its request for which an answer that may be a second one is held, or...
+DOUBT_TIMES = 4.0  # ...so many times its server's usual time, if that is longer
 
 
 class RepeatedAnswers:
@@ -60,3 +65,62 @@
     def answered(self, took: float) -> None:
         """An answer has begun so long after its request."""
         self._usual += (took - self._usual) / SMOOTHING if self._usual else took
+
+    def doubt_for(self, took: float) -> float:
+        """Seconds for which to wait for another answer, where one came so long after its request."""
+        return max(0.0, max(DOUBT_LEAST, DOUBT_TIMES * self._usual) - took)
+
+
+class CommonAnswers:
+    """Answers that different requests have got, as a fixed page is: to get one of them tells nothing.
+
+    An answer is known by a digest of all in it that is not the time of day.
+    """
+
+    def __init__(self) -> None:
+        self._seen_on: OrderedDict[int, int] = OrderedDict()  # by digest: the first connection that had it
+        self._common: OrderedDict[int, None] = OrderedDict()
+
+    def is_common(self, digest: int) -> bool:
+        """Whether it is known that more than one request gets this."""
+        return digest in self._common
+
+    def seen(self, digest: int, connection: int) -> None:
+        """A connection of this number has brought this: a second one of it would come on the same one."""
+        first = self._seen_on.setdefault(digest, connection)
+        if first != connection:
+            self.accepted(digest)
+        if len(self._seen_on) > COMMON_MOST:
+            self._seen_on.popitem(last=False)
+
+    def accepted(self, digest: int) -> None:
+        """Nothing else came though it was waited for: it was the answer."""
+        self._common[digest] = None
+        if len(self._common) > COMMON_MOST:
+            self._common.popitem(last=False)
+
+
+class ConnectionAnswers:
+    """The last answers of one connection, of which one that comes again serves nobody."""
+
+    __slots__ = ("_common", "_last", "_number")
+
+    def __init__(self, common: CommonAnswers, number: int) -> None:
+        """`number` is the connection's own."""
+        self._common = common
+        self._last: tuple[int, ...] = ()
+        self._number = number
+
+    def is_doubtful(self, digest: int) -> bool:
+        """Whether an answer is one of the last on this connection again, and not one that many get."""
+        return digest in self._last and not self._common.is_common(digest)
+
+    def note(self, digest: int) -> None:
+        """This one has served its request."""
+        self._last = (*self._last[1 - REMEMBERED:], digest)
+        self._common.seen(digest, self._number)
+
+    def accept(self, digest: int) -> None:
+        """A doubtful one has served its request: no other came."""
+        self._common.accepted(digest)
+        self.note(digest)
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import math
 import select
 import socket
@@ -12,7 +13,7 @@
 import httptools
 
 from jaspershelf.model import Outcome
-from jaspershelf.repeated_answers import RepeatedAnswers
+from jaspershelf.repeated_answers import ConnectionAnswers, RepeatedAnswers
 from lugspur.body import HELD_MOST
 from lugspur.config import Address
 from lugspur.events import log
@@ -30,6 +31,7 @@
 HEADERS_MOST = 200  # of one head: each costs time
 SPENT = httptools.HttpResponseParser(object())  # in place of one whose connection reads no more
 BEFORE_REQUEST = "an answer before its request was written"
+NUMBERS = itertools.count()  # of connections
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -61,12 +63,16 @@
 
     def __init__(self, upstream: Upstream, backend: Backend, to: tuple[Address, float] | None = None) -> None:
         self._upstream = upstream
+        self._loop = asyncio.get_running_loop()
         self.backend = backend
         self._to = to or backend.process()  # as it was when the dial began
         self.exchange: Exchange | None = None
         self.written = False  # whether the last byte of the request is out
         self.idle_since = 0.0
         self._answered = -math.inf  # when its last answer was complete
+        self._answers = ConnectionAnswers(upstream.common_answers, next(NUMBERS))
+        self._doubtful: Response | None = None  # may be an earlier answer again: another is waited for...
+        self._doubted_until: asyncio.TimerHandle | None = None  # ...until this time
         self._sent = 0.0  # when its request was written
         self._parser = httptools.HttpResponseParser(self)
         self._last = False  # the request's last byte has been handed to the transport
@@ -81,6 +87,7 @@
 
     def _begin(self) -> None:
         self._head = bytearray()
+        self._date = b""
         self._header_count = 0
         self._body = bytearray()  # what is held of it, or is still to be passed on
         self._size = 0
@@ -226,6 +233,7 @@
     def _release(self) -> None:
         """Hold nothing more of it."""
         self._account.holders.pop(self, None)
+        self._forget_doubt()
         self._parser = SPENT  # the one before keeps what it has read of a head
         self._body.clear()
         for holding in (self._connection_held, self._answer_held, self._unsent_held):
@@ -291,6 +299,9 @@
 
     def on_message_begin(self) -> None:
         self._begin()
+        if self._doubtful is not None:  # Guards the request: this is its answer, and the other was not.
+            self._note_repeat("an earlier answer came before the request's own")
+            self._forget_doubt()
         if self.exchange is None:  # Guards against an answer that nobody asked for: it must serve no request.
             self._note_repeat("an answer that nobody asked for")
             self.abandon("an answer that nobody asked for")
@@ -309,7 +320,10 @@
             if value.lower() != b"chunked":  # nobody asked for another one
                 self._spoilt()
         elif lower not in HOP_BY_HOP:
-            self._head += b"%b: %b\r\n" % (name, value)
+            line = b"%b: %b\r\n" % (name, value)
+            self._head += line
+            if lower == b"date":
+                self._date = line
 
     def on_status(self, _: bytes) -> None:
         self._note_sound()
@@ -429,6 +443,41 @@
         if exchange.paused:
             self.hold(False)
         response = self._response()
+        if status == 200 and exchange.pass_on is None:
+            digest = self._digest(response)
+            if keep_alive and self._answers.is_doubtful(digest):
+                self._doubt(response)
+                return
+            self._answers.note(digest)
+        self._settle(exchange, response, keep_alive)
+
+    def _digest(self, response: Response) -> int:
+        return hash((response.head.replace(self._date, b""), response.body))
+
+    def _doubt(self, response: Response) -> None:
+        """Wait for another answer: this one may be a second one to an earlier request."""
+        self._doubtful = response
+        wait = self.backend.repeats.doubt_for(self._upstream.now() - self._sent)
+        trace.record("answer.doubtful", to=self._to[0], seconds=round(wait, 4))
+        self._doubted_until = self._loop.call_later(wait, self._accept)
+
+    def _accept(self) -> None:
+        """No other answer has come: the doubtful one is the request's own."""
+        response, exchange = self._doubtful, self.exchange
+        self._forget_doubt()
+        if response is not None and exchange is not None:
+            self._answers.accept(self._digest(response))
+            self._settle(exchange, response, keep_alive=True)
+
+    def _forget_doubt(self) -> None:
+        self._doubtful = None
+        if self._doubted_until is not None:
+            self._doubted_until.cancel()
+            self._doubted_until = None
+
+    def _settle(self, exchange: Exchange, response: Response, keep_alive: bool) -> None:
+        """Its answer is complete: keep the connection, if it may be, and end the attempt."""
+        status = response.status
         if self.written and keep_alive and self.usable() and not self._early:
             self.count_bytes(exchange)
             self.exchange = exchange.connection = None
--- a/lugspur/upstream.py
+++ b/lugspur/upstream.py
@@ -10,7 +10,7 @@
 from itertools import islice
 
 from jaspershelf.model import Outcome
-from jaspershelf.repeated_answers import REST, RepeatedAnswers
+from jaspershelf.repeated_answers import REST, CommonAnswers, RepeatedAnswers
 from lugspur.backend_connection import Backend, Connection
 from lugspur.config import Address
 from lugspur.event_loop import EventLoop
@@ -38,6 +38,7 @@
         self._dial_timeout = dial_timeout
         self._dialling = 0
         self._connected = 0
+        self.common_answers = CommonAnswers()
         self.dispatches = 0  # attempts whose last byte is out
         self.news = Inbox()  # what the list may say next
         self._idle: dict[Connection, None] = {}  # the longest idle first
