--- a/jaspershelf/request_lease.py
+++ b/jaspershelf/request_lease.py
@@ -76,7 +76,8 @@
         """`repeats_for`: seconds after a first attempt that may have run in which others may begin."""
         self._bound = bound or Endless()
         self._repeats_for = repeats_for
-        self._runs: dict[int, float] = {}  # attempts that may have run, or may still: when each began
+        # Attempts that may have run, or may still: the number of each, and when it began.
+        self._runs: tuple[tuple[int, float], ...] = ()
         self.time_up = inf  # the request's time; it has none while the request is still coming in
         self.renewed = False  # more of its answer has come than is timed by the last byte
         self.ended = False  # it has its final answer, or nobody waits for one
@@ -107,17 +108,17 @@
 
     def may_attempt(self, now: float) -> bool:
         """Whether an attempt may begin, a first one or another: no effect may be had twice by it."""
-        first = min(self._runs.values(), default=None)
-        return self.may_start(now) and (first is None or now - first < self._repeats_for)
+        first = min((began for _, began in self._runs), default=inf)
+        return self.may_start(now) and (first == inf or now - first < self._repeats_for)
 
     def attempt_began(self, number: int, now: float) -> None:
         """The attempt of this number is out."""
-        self._runs[number] = now
+        self._runs = (*self._runs, (number, now))
 
     def attempt_ended(self, number: int, outcome: Outcome) -> None:
         """It is over."""
         if outcome in NEVER_RAN:
-            self._runs.pop(number, None)
+            self._runs = tuple(run for run in self._runs if run[0] != number)
 
     def may_have_run(self) -> bool:
         """Whether any attempt has run, or may still run."""
--- a/lugspur/answer_framing.py
+++ b/lugspur/answer_framing.py
@@ -54,3 +54,11 @@
     with suppress(OSError):  # its peer may have reset it already
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     transport.abort()
+
+
+def abort(transport: asyncio.WriteTransport) -> None:
+    """End a connection at once, so that its peer can tell an answer that is not all out from a whole one."""
+    if transport.get_write_buffer_size():
+        reset(transport)
+    else:
+        transport.abort()
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from jaspershelf.model import Outcome
-from jaspershelf.request_lease import RequestLease
+from jaspershelf.request_lease import RequestLease, Step
 from lugspur.caller import Caller
 from lugspur.exchange import Exchange, Response
 from lugspur.request import Facts, Request
@@ -38,11 +38,12 @@
 
     __slots__ = (
         "_owner", "caller", "claimed", "exchanges", "facts", "last", "lease", "name", "passing", "reason",
-        "request", "rid", "timer",
+        "request", "rid", "taken_at", "timer",
     )
 
     def __init__(
-        self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller, lease: RequestLease
+        self, owner: CallOwner, rid: str, request: Request, facts: Facts, caller: Caller,
+        lease: RequestLease, taken_at: float,
     ) -> None:
         self._owner = owner
         self.rid = rid
@@ -51,6 +52,7 @@
         self.facts = facts
         self.caller: Caller | None = caller  # None once nothing is owed
         self.lease = lease
+        self.taken_at = taken_at  # the loop's time at which its turn came, behind others on its connection
         self.exchanges: list[Exchange] = []
         self.claimed = False  # its id is held as one that may run
         self.last = Outcome.VOID  # how its latest attempt ended
@@ -91,6 +93,16 @@
         """That answer has fallen silent, or comes slowly."""
         self._owner.slow(self, exchange)
 
+    def steps(self, now: float) -> list[tuple[Step, Exchange | None]]:
+        """What its lease says now: by itself, and for each attempt whose answer may be its own."""
+        coming = [row for row in self.exchanges if row.is_coming_in() and (row.pass_on or not self.passing)]
+        steps = [(self.lease.step(now, row.pace, self.passing), row) for row in coming]
+        return [*steps, (self.lease.step(now, None, self.passing), None)]
+
+    def latency(self, exchange: Exchange, now: float) -> float:
+        """How long an attempt has been out, of the time that counts: from the request's last byte on."""
+        return max(0.0, now - max(exchange.started, self.request.arrived))
+
     def unsent(self) -> int:
         """Bytes of its answer that its caller has not taken yet."""
         return self.caller.unsent() if self.caller is not None else 0
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -17,8 +17,6 @@
     ListKind,
     Outcome,
     Refuse,
-    Repeat,
-    RequestClass,
     Send,
     Subscribe,
     Timer,
@@ -26,9 +24,10 @@
 from jaspershelf.overload import MemoryOverload
 from jaspershelf.reconnect import ReconnectBackoff
 from jaspershelf.request_ids import Standing
-from jaspershelf.request_lease import AnswerSizes, RequestLease, Step
+from jaspershelf.request_lease import Step
 from lugspur import discovery, request_trace
 from lugspur.admin import Admin, Route, page
+from lugspur.attempts import Attempts
 from lugspur.backend_list import BackendList
 from lugspur.call import Call
 from lugspur.caller import Caller
@@ -43,7 +42,7 @@
 from lugspur.operator_orders import OperatorOrders
 from lugspur.order_follower import OrderFollower
 from lugspur.orders import OrderBook, Orders
-from lugspur.proxy_checks import GUARDED, describe, proxy_checks
+from lugspur.proxy_checks import GUARDED, proxy_checks
 from lugspur.request import ANSWER_EARLY, Facts, Rejected, Request
 from lugspur.request_audit import RequestAudit, overdue_calls
 from lugspur.sent_ids import book_for, refusal
@@ -88,13 +87,9 @@
         # Where the list is asked for, the one known at the start holds until then.
         self._holds = config.settings.discovery is Discovery.PUSHED and bool(config.known["endpoints"])
         self._count = 0
-        self._repeats_for = [repeats_for(row) for row in config.settings.classes]
-        self._once = [row.repeat is Repeat.UNSAFE for row in config.settings.classes]
-        self._safe = [row.repeat is Repeat.SAFE for row in config.settings.classes]
         sockets = max(8, config.sockets - SPARE_SOCKETS)
         callers = int(CALLERS_PART * sockets)
         self._overload = MemoryOverload(config.memory)
-        self._answer_sizes = [AnswerSizes() for _ in config.settings.classes]
         self._invariants = Invariants(GUARDED)
         self._audit = RequestAudit(self._invariants.report)
         self._account = Account(self._overload, self._invariants.report)
@@ -107,6 +102,7 @@
             self._loop.call_later(OVERLAP, self._have_all_room)
         self._list = BackendList(self._upstream, self._balancer)
         self._backends = self._list.backends
+        self._attempts = Attempts(config.settings.classes, self._backends, self._invariants.report)
         self._telemetry = Telemetry([row.name for row in config.settings.classes])
         self.front = Front(config, callers, self._request, self._telemetry, self._account)
         self.front.end_requests = self.end_requests
@@ -322,8 +318,8 @@
 
     def _request(self, request: Request, facts: Facts, caller: Caller) -> None:
         self._count += 1
-        lease = RequestLease(self.front, self._repeats_for[facts.kind])
-        call = Call(self, str(self._count), request, facts, caller, lease)
+        lease = self._attempts.lease(facts.kind, self.front)
+        call = Call(self, str(self._count), request, facts, caller, lease, self._loop.time())
         self._calls[call.rid] = call
         try:
             self._take(call, request, caller)
@@ -407,12 +403,9 @@
 
     def _look(self, call: Call) -> None:
         """Do what its lease says about a request now."""
-        now = self._loop.time()
-        coming = [row for row in call.exchanges if row.is_coming_in() and (row.pass_on or not call.passing)]
-        steps = [(call.lease.step(now, row.pace, call.passing), row) for row in coming]
-        passed_on = any(step is Step.PASS_ON and row.carry_on() for step, row in steps)
-        waits = Step.WAIT in [call.lease.step(now, None, call.passing), *(step for step, _ in steps)]
-        if passed_on or waits:
+        steps = call.steps(self._loop.time())
+        passed_on = any(step is Step.PASS_ON and row is not None and row.carry_on() for step, row in steps)
+        if passed_on or any(step is Step.WAIT for step, _ in steps):
             self._look_later(call)
         else:
             self._expire(call)
@@ -513,14 +506,10 @@
             self._answer(call, 504 if call.last is Outcome.TIMEOUT else 502, b"", b"failed\n")
 
     def _send(self, call: Call, action: Send) -> None:
-        now = self._loop.time()
-        exchange = self._new_exchange(call, action, now)
-        refused = self._refuses_attempt(call, now)
-        call.exchanges.append(exchange)
-        if refused:
-            self._loop.call_soon(exchange.end, Outcome.VOID, None, refused)
+        exchange, refusal = self._attempts.make(call, action)
+        if refusal:
+            self._loop.call_soon(exchange.end, Outcome.VOID, None, refusal)
             return
-        call.lease.attempt_began(exchange.number, now)
         request_trace.attempt_chosen(call, exchange, discovery.server_name(action.server))
         try:
             self._upstream.start(exchange)
@@ -528,30 +517,6 @@
             exchange.broke("a fault here")  # Guards the request: the module waits for how this attempt ends.
             raise
 
-    def _refuses_attempt(self, call: Call, now: float) -> str:
-        """Why an attempt may not begin; empty where it may."""
-        if not call.claimed:
-            self._invariants.report("send_unclaimed", repr(call.name))
-        if call.lease.may_attempt(now):
-            return ""
-        if call.lease.ended:
-            self._invariants.report("send_after_end", repr(call.name))
-        elif call.lease.may_start(now):
-            self._invariants.report("send_repeated", describe(call.exchanges[-1]))
-        return "its request may not be sent now"
-
-    def _new_exchange(self, call: Call, action: Send, now: float) -> Exchange:
-        until = min(call.deadline, now + action.timeout) if action.timeout > 0.0 else call.deadline
-        exchange = Exchange(
-            call, len(call.exchanges), self._backends[action.server], now, until, call.head_for,
-            call.request.body, self._once[call.facts.kind] or not call.request.body.whole,
-        )
-        exchange.name = call.name
-        exchange.lease = call.lease
-        exchange.sizes = self._answer_sizes[call.facts.kind]
-        exchange.safe = self._safe[call.facts.kind]
-        return exchange
-
     def answering(self, call: Call, exchange: Exchange) -> None:
         """A sound answer has begun to come in."""
         request_trace.answer_begun(call, exchange, self._loop.time())
@@ -572,43 +537,27 @@
         call.passing = True
         request_trace.answer_passed_on(call, exchange, response, self._loop.time())
         caller.begin(exchange, response)
-        self._perform(self._decide(
-            self._balancer.begun, call.rid, exchange.number, self._latency(call, exchange), call=call
-        ))
+        latency = call.latency(exchange, self._loop.time())
+        self._perform(self._decide(self._balancer.begun, call.rid, exchange.number, latency, call=call))
         return caller.pass_on
 
-    def _latency(self, call: Call, exchange: Exchange) -> float:
-        """How long an attempt has been out, of the time that counts: from the request's last byte on."""
-        return max(0.0, self._loop.time() - max(exchange.started, call.request.arrived))
-
     def outcome(
         self, call: Call, exchange: Exchange, outcome: Outcome, response: Response | None
     ) -> None:
         """An attempt is over: answer with what it brought, and tell the module."""
         request_trace.attempt_ended(call, exchange, outcome)
-        call.last = outcome
-        call.lease.attempt_ended(exchange.number, outcome)
-        if outcome is Outcome.OK and exchange.pace is not None:
-            self._answer_sizes[call.facts.kind].note(exchange.pace.size)
+        self._attempts.ended(call, exchange, outcome)
         if outcome is Outcome.OK and exchange.pass_on is not None:
             self._finish(call)
         elif outcome is Outcome.OK and response is not None:
             self._answer(call, 200, response.head, response.body)
         self._forget(call)
+        latency, last = call.latency(exchange, self._loop.time()), call.caller is None
         self._perform(self._decide(
-            self._balancer.outcome, call.rid, exchange.number, outcome, self._latency(call, exchange),
-            call.caller is None, call=call,
-        ))
+            self._balancer.outcome, call.rid, exchange.number, outcome, latency, last, call=call))
 
     def _finish(self, call: Call) -> None:
         caller = call.caller
         self._settle(call)
         if caller is not None:
             caller.finish()
-
-
-def repeats_for(kind: RequestClass) -> float:
-    """Seconds after a first attempt that may have run in which others may begin."""
-    if kind.repeat is Repeat.SAFE:
-        return math.inf
-    return kind.window if kind.repeat is Repeat.KEYED else 0.0
--- a/lugspur/proxy_checks.py
+++ b/lugspur/proxy_checks.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable, Mapping
 
 from lugspur.call import Call
-from lugspur.exchange import Exchange
 from lugspur.invariants import Check
 from lugspur.request_audit import AUDITED, overdue_calls
 from lugspur.telemetry import Telemetry
@@ -32,8 +31,3 @@
         return f"{telemetry.concurrent} requests are served" if telemetry.concurrent < 0 else ""
 
     return {"request_overdue": overdue, "connections": connections, "concurrent": concurrent}
-
-
-def describe(exchange: Exchange) -> str:
-    """An attempt, in words for the log."""
-    return f"attempt {exchange.number} of {exchange.name!r}"
--- a/lugspur/request_head.py
+++ b/lugspur/request_head.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
+import httptools
+
 from lugspur.backend_connection import BLANKS, HEADERS_MOST, HOP_BY_HOP
-from lugspur.request import NAMED, Rejected
+from lugspur.body import BODY_MOST, Body
+from lugspur.memory import REQUEST_COST, Account, Purpose
+from lugspur.request import NAMED, Rejected, Request
 
 
 class RequestHead:
@@ -19,6 +25,14 @@
         self.length: int | None = 0  # of the body; None: it comes in chunks
         self.expects = False  # the caller waits to be told to send its body
 
+    def fault(self, upgrades: bool) -> Rejected | None:
+        """Why the request can't be served by its head; `upgrades`: it offers another protocol."""
+        if self.length is not None and self.length > BODY_MOST:
+            return Rejected(413, "the body is too large")
+        if self.length != 0 and upgrades:
+            return Rejected(400, "an upgrade takes no body")  # where it would end can't be read
+        return None
+
     def add(self, name: bytes, value: bytes) -> None:
         """One more header; Rejected where the request can't be served for it."""
         self.count += 1
@@ -37,3 +51,17 @@
             self.expects = value.lower() == b"100-continue"
         if lower != b"x-timeout" and lower not in HOP_BY_HOP:
             self.lines += b"%b: %b\r\n" % (name, value)
+
+
+def request_of(
+    head: RequestHead, target: bytes, parser: httptools.HttpRequestParser, account: Account,
+    throttle: Callable[[bool], None],
+) -> Request:
+    """The request whose head has come whole; `throttle` is told whether its caller has to wait."""
+    holding = account.holding(Purpose.REQUESTS)
+    holding.set(REQUEST_COST + len(target) + 2 * len(head.lines))  # some of it stands in the headers too
+    return Request(
+        parser.get_method(), target, head.headers, bytes(head.lines),
+        Body(head.length, throttle, account.holding(Purpose.BODIES)), parser.should_keep_alive(),
+        knows_chunks=parser.get_http_version() != "1.0", holding=holding,
+    )
--- a/lugspur/request_trace.py
+++ b/lugspur/request_trace.py
@@ -11,10 +11,10 @@
 
 
 def attempt_chosen(call: Call, exchange: Exchange, server: str) -> None:
-    """An attempt begins; it is not yet among its call's."""
+    """An attempt begins, the last of its call's."""
     reason = "first"
-    if call.exchanges:
-        hedged = any(earlier.open for earlier in call.exchanges)
+    if len(call.exchanges) > 1:
+        hedged = any(earlier.open for earlier in call.exchanges[:-1])
         reason = "hedged" if hedged else f"retry after {call.last.value}"
     trace.record("attempt.chosen", id=call.name, n=exchange.number, reason=reason, server=server)
 
--- a/lugspur/telemetry.py
+++ b/lugspur/telemetry.py
@@ -36,3 +36,29 @@
             f"proxy.targets={targets}", f"proxy.targets_disabled={disabled}",
         ]
         return "".join(f"{line}\n" for line in lines).encode()
+
+
+class ServedRequest:
+    """The request that one connection is served, as far as it is counted."""
+
+    def __init__(self, telemetry: Telemetry) -> None:
+        self._telemetry = telemetry
+        self._is_whole = False
+        self.kind: int | None = None  # its class; None: it has none, or none is served
+
+    def come_whole(self) -> None:
+        """All of it has come."""
+        self._is_whole = True
+        self._telemetry.concurrent += 1
+
+    def answered(self, status: int) -> None:
+        """It has its final answer."""
+        if self.kind is not None:
+            self._telemetry.answered(self.kind, status)
+
+    def end(self) -> None:
+        """It is served no more."""
+        self.kind = None
+        if self._is_whole:
+            self._is_whole = False
+            self._telemetry.concurrent -= 1
