--- a/jaspershelf/repeated_answers.py
+++ b/jaspershelf/repeated_answers.py
@@ -20,20 +20,22 @@
 EARLY_PART = 0.5  # of its server's usual time, under which an answer may be a second one
 REMEMBERED = 16  # answers of one connection that the next one is compared with
 COMMON_MOST = 256  # answers of all servers that are remembered as what more than one request may get
-DOUBT_LEAST = 0.1  # seconds after its request for which an answer that may be a second one is held, or...
-DOUBT_TIMES = 4.0  # ...so many times its server's usual time, if that is longer
+DISTINCT_NEEDED = 16  # answers in a row, none like another, after which a server's answers are all distinct
+DOUBT_TIMES = 4.0  # its server's usual time, for which one that may be a second one is held before that
 
 
 class RepeatedAnswers:
     """What one server has shown; all times are seconds of one clock."""
 
-    __slots__ = ("_repeating_until", "_rests", "_short_of_rested", "_usual")
+    __slots__ = ("_alike", "_distinct", "_repeating_until", "_rests", "_short_of_rested", "_usual")
 
     def __init__(self) -> None:
         self._rests = 0  # in a row, in which nothing came
         self._repeating_until = -inf
         self._short_of_rested = 0  # times that no connection had rested
         self._usual = 0.0  # seconds until its answers begin
+        self._distinct = 0  # answers in a row that were like no other
+        self._alike = False  # one was like another, and its request's own
 
     def rest_needed(self, now: float, safe: bool) -> float:
         """Seconds that a connection has to rest before a request; `safe`: that may simply be repeated."""
@@ -48,6 +50,7 @@
     def repeated(self, now: float) -> None:
         """A second answer has come."""
         self._rests = 0
+        self._alike = False
         self._repeating_until = now + REPEATING_FOR
 
     def is_repeating(self, now: float) -> bool:
@@ -71,8 +74,22 @@
         self._usual += (took - self._usual) / SMOOTHING if self._usual else took
 
     def doubt_for(self, took: float) -> float:
-        """Seconds for which to wait for another answer, where one came so long after its request."""
-        return max(0.0, max(DOUBT_LEAST, DOUBT_TIMES * self._usual) - took)
+        """Seconds for which to wait for another answer, where one like an earlier one came after so long.
+
+        As long as its request has time where all answers were distinct: then it is hardly the request's own.
+        """
+        if self._alike:
+            return 0.0
+        return inf if self._distinct >= DISTINCT_NEEDED else max(0.0, DOUBT_TIMES * self._usual - took)
+
+    def was_distinct(self) -> None:
+        """An answer was like none before it."""
+        self._distinct += 1
+
+    def was_alike(self) -> None:
+        """No other answer came though it was waited for: answers may be alike."""
+        self._distinct = 0
+        self._alike = True
 
 
 class CommonAnswers:
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -32,6 +32,7 @@
 SPENT = httptools.HttpResponseParser(object())  # in place of one whose connection reads no more
 BEFORE_REQUEST = "an answer before its request was written"
 NUMBERS = itertools.count()  # of connections
+MINUTE = 60.0  # seconds
 BLANKS = b" \t"  # they may stand around a header's value and are no part of it
 HOP_BY_HOP = frozenset(
     {b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
@@ -233,6 +234,8 @@
     def _release(self) -> None:
         """Hold nothing more of it."""
         self._account.holders.pop(self, None)
+        if self._doubtful is not None and not self.backend.repeats.is_repeating(self._upstream.now()):
+            self.backend.repeats.was_alike()  # it was waited for in vain
         self._forget_doubt()
         self._parser = SPENT  # the one before keeps what it has read of a head
         self._body.clear()
@@ -445,21 +448,25 @@
         response = self._response()
         if status == 200 and exchange.pass_on is None:
             digest = self._digest(response)
-            if keep_alive and self._answers.is_doubtful(digest):
-                self._doubt(response)
+            if keep_alive and self._answers.is_doubtful(digest) and self._doubt(response):
                 return
             self._answers.note(digest)
+            self.backend.repeats.was_distinct()
         self._settle(exchange, response, keep_alive)
 
     def _digest(self, response: Response) -> int:
         return hash((response.head.replace(self._date, b""), response.body))
 
-    def _doubt(self, response: Response) -> None:
-        """Wait for another answer: this one may be a second one to an earlier request."""
-        self._doubtful = response
+    def _doubt(self, response: Response) -> bool:
+        """Wait for another answer, as this may be a second one to an earlier request; False: it is not."""
         wait = self.backend.repeats.doubt_for(self._upstream.now() - self._sent)
-        trace.record("answer.doubtful", to=self._to[0], seconds=round(wait, 4))
-        self._doubted_until = self._loop.call_later(wait, self._accept)
+        if not wait:
+            return False
+        trace.record("answer.doubtful", to=self._to[0], seconds=round(min(wait, MINUTE), 4))
+        self._doubtful = response
+        if wait < MINUTE:  # else until its attempt ends
+            self._doubted_until = self._loop.call_later(wait, self._accept)
+        return True
 
     def _accept(self) -> None:
         """No other answer has come: it is the request's own, unless its server repeats answers."""
@@ -469,6 +476,7 @@
             exchange.broke("an answer to an earlier request, again")
         elif response is not None and exchange is not None:
             self._answers.accept(self._digest(response))
+            self.backend.repeats.was_alike()
             self._settle(exchange, response, keep_alive=False)  # what may still come serves nobody
 
     def _forget_doubt(self) -> None:
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -93,6 +93,7 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 first = time.monotonic()
                 sent.began = True
+                sent.status = int(head.split(None, 2)[1])
                 await self._read_body(reader, head, sent, first)
         except TimeoutError:
             sent.gave_up_at = time.monotonic()
@@ -103,7 +104,6 @@
             return False
         sent.ended_at = time.monotonic()
         sent.answered = first if sent.long_from is not None else sent.ended_at
-        sent.status = int(head.split(None, 2)[1])
         return b"connection: close" not in head.lower()
 
     async def _leave(self, writer: asyncio.StreamWriter, sent: Sent, request: bytes) -> None:
