Only a server whose answers were distinct has a like one held; fixed pages keep their connections

Change: before a server has shown 16 distinct answers, one like an earlier one is held only within 20 ms of it, and its connection is kept.

--- a/jaspershelf/repeated_answers.py
+++ b/jaspershelf/repeated_answers.py
@@ -21,7 +21,8 @@
 REMEMBERED = 16  # answers of one connection that the next one is compared with
 COMMON_MOST = 256  # answers of all servers that are remembered as what more than one request may get
 DISTINCT_NEEDED = 16  # answers in a row, none like another, after which a server's answers are all distinct
-DOUBT_TIMES = 4.0  # its server's usual time, for which one that may be a second one is held before that
+REPEAT_SOON = 0.02  # seconds after an answer in which one like it is doubted before that...
+DOUBT_TIMES = 4.0  # ...for so many times its server's usual time
 
 
 class RepeatedAnswers:
@@ -73,14 +74,17 @@
         """An answer has begun so long after its request."""
         self._usual += (took - self._usual) / SMOOTHING if self._usual else took
 
-    def doubt_for(self, took: float) -> float:
-        """Seconds for which to wait for another answer, where one like an earlier one came after so long.
+    def doubt_for(self, took: float, age: float) -> float:
+        """Seconds for which to wait for another answer, where one came that is like an earlier one.
 
-        As long as its request has time where all answers were distinct: then it is hardly the request's own.
+        `took` is the time since its request, `age` since the earlier one. As long as its request has time
+        where all answers were distinct: then it is hardly the request's own.
         """
         if self._alike:
             return 0.0
-        return inf if self._distinct >= DISTINCT_NEEDED else max(0.0, DOUBT_TIMES * self._usual - took)
+        if self._distinct >= DISTINCT_NEEDED:
+            return inf
+        return max(0.0, DOUBT_TIMES * self._usual - took) if age < REPEAT_SOON else 0.0
 
     def was_distinct(self) -> None:
         """An answer was like none before it."""
@@ -129,19 +133,23 @@
     def __init__(self, common: CommonAnswers, number: int) -> None:
         """`number` is the connection's own."""
         self._common = common
-        self._last: tuple[int, ...] = ()
+        self._last: tuple[tuple[int, float], ...] = ()  # their digests, and when they came
         self._number = number
 
     def is_doubtful(self, digest: int) -> bool:
         """Whether an answer is one of the last on this connection again, and not one that many get."""
-        return digest in self._last and not self._common.is_common(digest)
+        return any(digest == last for last, _ in self._last) and not self._common.is_common(digest)
 
-    def note(self, digest: int) -> None:
+    def age(self, digest: int, now: float) -> float:
+        """Seconds since this one came last; infinite where it is not remembered."""
+        return now - max((at for last, at in self._last if last == digest), default=-inf)
+
+    def note(self, digest: int, now: float) -> None:
         """This one has served its request."""
-        self._last = (*self._last[1 - REMEMBERED:], digest)
+        self._last = (*self._last[1 - REMEMBERED:], (digest, now))
         self._common.seen(digest, self._number)
 
-    def accept(self, digest: int) -> None:
+    def accept(self, digest: int, now: float) -> None:
         """A doubtful one has served its request: no other came."""
         self._common.accepted(digest)
-        self.note(digest)
+        self.note(digest, now)
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -448,18 +448,22 @@
         response = self._response()
         if status == 200 and exchange.pass_on is None:
             digest = self._digest(response)
-            if keep_alive and self._answers.is_doubtful(digest) and self._doubt(response):
-                return
-            self._answers.note(digest)
-            self.backend.repeats.was_distinct()
+            if keep_alive and self._answers.is_doubtful(digest):
+                if self._doubt(response, digest):
+                    return
+                self.backend.repeats.was_alike()
+            else:
+                self.backend.repeats.was_distinct()
+            self._answers.note(digest, self._answered)
         self._settle(exchange, response, keep_alive)
 
     def _digest(self, response: Response) -> int:
         return hash((response.head.replace(self._date, b""), response.body))
 
-    def _doubt(self, response: Response) -> bool:
+    def _doubt(self, response: Response, digest: int) -> bool:
         """Wait for another answer, as this may be a second one to an earlier request; False: it is not."""
-        wait = self.backend.repeats.doubt_for(self._upstream.now() - self._sent)
+        now = self._answered
+        wait = self.backend.repeats.doubt_for(now - self._sent, self._answers.age(digest, now))
         if not wait:
             return False
         trace.record("answer.doubtful", to=self._to[0], seconds=round(min(wait, MINUTE), 4))
@@ -475,9 +479,9 @@
         if exchange is not None and self.backend.repeats.is_repeating(self._upstream.now()):
             exchange.broke("an answer to an earlier request, again")
         elif response is not None and exchange is not None:
-            self._answers.accept(self._digest(response))
+            self._answers.accept(self._digest(response), self._answered)
             self.backend.repeats.was_alike()
-            self._settle(exchange, response, keep_alive=False)  # what may still come serves nobody
+            self._settle(exchange, response, keep_alive=True)
 
     def _forget_doubt(self) -> None:
         self._doubtful = None
