--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -21,6 +21,7 @@
 STUCK = 30.0  # ...or its caller has to make room for a step: a slow one may empty a full socket in 20
 HEADWAY_EVERY = 1.0  # seconds between looks at a transfer
 PACE_EVERY_MOST, PACE_EVERY_LEAST = 0.1, 0.01  # seconds between looks at an answer that is held...
+NO_LEASE, NO_SIZES = RequestLease(), AnswerSizes()  # without an end, and of no class
 PACE_EVERY_PART = 0.1  # ...this part of the time that its request had left as it began
 
 
@@ -74,8 +75,8 @@
         self.backend = backend
         self.started = started
         self.until = until  # the loop's time until which the first byte of its answer is waited for
-        self.lease = RequestLease()  # of its request
-        self.sizes = AnswerSizes()  # of its request's class
+        self.lease = NO_LEASE  # its request's, once that is known
+        self.sizes = NO_SIZES  # of its request's class
         self.pace: AnswerPace | None = None  # of a sound answer that is coming in
         self.head = head  # the request's head, given the seconds that are left
         self.body = body
--- a/lugspur/telemetry.py
+++ b/lugspur/telemetry.py
@@ -41,6 +41,8 @@
 class ServedRequest:
     """The request that one connection is served, as far as it is counted."""
 
+    __slots__ = ("_is_whole", "_telemetry", "kind")
+
     def __init__(self, telemetry: Telemetry) -> None:
         self._telemetry = telemetry
         self._is_whole = False
