--- a/tests/hostile/answer_grid.py
+++ b/tests/hostile/answer_grid.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 from terms import LONG, End, Given, Observation, answer_fault
@@ -153,6 +153,7 @@
         return
     found = LENGTH.search(answer_head)
     if found is not None:
+        seen.told = int(found[1])
         await _take(reader, int(found[1]), seen)
         return
     while data := await reader.read(READ_PIECE):
@@ -198,13 +199,14 @@
         name = cell.name(next(numbers))
         seen = await observe(target, head(cell.kind, cell.wait, name), cell.wait)
         if name in servers.forwarded or seen.status != REFUSED:
-            fault = answer_fault(seen, cell.given)
+            given = replace(cell.given, tells=cell.framing is Framing.LENGTH)
+            fault = answer_fault(seen, given)
             return Played(1, {name: fault} if fault else {})
         await asyncio.sleep(TRY_AGAIN_AFTER)
     return Played(1, refused=1)
 
 
-async def _ask_quickly(target: Stage, kind: str) -> None:
+async def ask_quickly(target: Stage, kind: str) -> None:
     """Requests of a class that are answered at once, one after another."""
     for number in itertools.count():
         request = head(kind, 1.0, f"quick-{kind}-{number}", "Content-Length: 0\r\n")
@@ -223,7 +225,7 @@
                 async with free:
                     played.add(await _play_cell(target, servers, numbers, cell))
 
-            quick = [asyncio.ensure_future(_ask_quickly(target, kind)) for kind in KINDS]
+            quick = [asyncio.ensure_future(ask_quickly(target, kind)) for kind in KINDS]
             await asyncio.gather(*(one(cell) for cell in cells))
             for task in quick:
                 task.cancel()
--- a/tests/hostile/stage.py
+++ b/tests/hostile/stage.py
@@ -12,7 +12,7 @@
 import sys
 import threading
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -151,6 +151,7 @@
     data_limit: int | None = None  # bytes: the process's `RLIMIT_DATA`
     services: Sequence[dict[str, Any]] = SERVICES
     receive_buffer: int | None = None  # bytes of a server's; it also holds little more beside that
+    bounds: Mapping[str, Any] = field(default_factory=dict)  # in place of those of every stage
 
 
 DEFAULT = Setting()
@@ -171,7 +172,8 @@
             "Services": list(setting.services),
             "Orgs": [{"Name": "acme", "Share": 1.0}],
             "Bounds": {"Cancel": True, "MaxAttempts": 4, "ConnIdle": 5.0, "DialTimeout": 0.25,
-                       "SecondCopies": True, "RetryAfter": True, "MaxRetryAfter": 1.0},
+                       "SecondCopies": True, "RetryAfter": True, "MaxRetryAfter": 1.0,
+                       **setting.bounds},
             "Rules": {"DrainGrace": 1.5, "ColdFrom": 0.2, "Cold": 0.0, "FallMultiple": 4.0, "TipAfter": 1.5},
             "Tiers": ["one"], "Zones": ["here", "there"], "HostTypes": ["k"],
         },
