A told length over 64 KiB is a fact, and lumps are no end: what is long is not cut while it is given

Cause: `RequestLease.step` asked a forecast from the mean pace (`AnswerPace.reaches`) also where a told length or bytes that had come say it; between two lumps the last byte is "silent" after 0.4 s. Of two attempts the one with the younger last byte was passed on, the other closed, though it was further. A head with no body counted as nothing at T.

Change: a told length over 64 KiB, or as many bytes, renews the lease once it is passed on, 0.05 s before T at the latest. What tells no length is passed on at T, its head alone too. Of several the one that tells it is long goes first, then the one that is further, then the older. Forecasts stand in answer_forecast.py alone: whether another server is asked, as before, and whether one more burst may make an answer long, which decides between an end at T + 0.3 s and at T + 0.46 s.

--- a/jaspershelf/request_lease.py
+++ b/jaspershelf/request_lease.py
@@ -1,9 +1,9 @@
 """By when a request ends, and by what: one lease of time for each request, without I/O.
 
 A lease is granted when the request's time is known. It runs to a moment shortly after that time, is renewed
-by one event alone (more of its answer has come than is timed by the last byte), and is bounded by the end of
-the process. Whoever sends, repeats, passes on, closes or starts anything for the request asks its lease.
-All times are seconds of one monotonic clock, all sizes bytes.
+by one event alone (an answer is passed on that is long, by its bytes or by the length that it tells), and is
+bounded by the end of the process. Whoever sends, repeats, passes on, closes or starts anything for the
+request asks its lease. All times are seconds of one monotonic clock, all sizes bytes.
 """
 
 from __future__ import annotations
@@ -12,18 +12,16 @@
 from math import inf
 from typing import Protocol
 
+from jaspershelf.answer_forecast import SILENT_MOST, AnswerSizes, may_become_long, will_be_late
 from jaspershelf.model import NEVER_RAN, Outcome
-from jaspershelf.transfer_pace import LONG, AnswerPace
+from jaspershelf.transfer_pace import AnswerPace
 
 LATE_MOST = 0.5  # seconds after a request's time from which on its end is lost
 HELD_UP_MOST = 0.15  # seconds for which the process may be held up between its clock and its write
 REACHES_IN = 0.05  # seconds that an answer takes to reach its client, at the most
 END_AFTER = LATE_MOST - HELD_UP_MOST - REACHES_IN  # seconds after its time by which a request ends...
-LONG_AFTER = 0.46  # ...or by which its answer is long, where it comes at such a pace
-SILENT_MOST = 2.0  # seconds of its server's silence after which nothing more is waited for
+LONG_AFTER = 0.46  # ...or by which its answer is long, where it may still become so
 LOOK_EVERY = 0.05  # seconds between looks at an answer that comes in after its request's time
-SIZES_SEEN = 8.0  # whole answers of a class over which what is usual is smoothed
-USUALLY_LONG = 0.5  # part of them that are long, from which on the next one is expected to be
 
 
 class Bound(Protocol):
@@ -46,28 +44,6 @@
     END = "end"  # failed, or cut where some of its answer was passed on
 
 
-class AnswerSizes:
-    """How large the whole answers of one class have been."""
-
-    __slots__ = ("_largest_short", "_long_part")
-
-    def __init__(self) -> None:
-        self._long_part = 0.0
-        self._largest_short = 0
-
-    def note(self, size: int) -> None:
-        """An answer was whole, with so many bytes."""
-        self._long_part += ((size > LONG) - self._long_part) / SIZES_SEEN
-        if size <= LONG:
-            self._largest_short = max(self._largest_short, size)
-
-    def expected(self, come: int) -> int:
-        """The size of an answer that does not tell its own, of which so much has come."""
-        if self._long_part >= USUALLY_LONG:
-            return LONG + 1
-        return self._largest_short if self._largest_short > come else LONG
-
-
 class RequestLease:
     """The lease of one request."""
 
@@ -80,7 +56,7 @@
         # Attempts that may have run, or may still: the number of each, and when it began.
         self._runs: tuple[tuple[int, float], ...] = ()
         self.time_up = inf  # the request's time; it has none while the request is still coming in
-        self.renewed = False  # more of its answer has come than is timed by the last byte
+        self.renewed = False  # a long answer is passed on: only its first byte is timed
         self.ended = False  # it has its final answer, or nobody waits for one
 
     # ---- its time --------------------------------------------------------------------------
@@ -129,12 +105,7 @@
 
     def is_slow(self, now: float, answer: AnswerPace, sizes: AnswerSizes) -> bool:
         """Whether an answer that comes in will be neither whole nor long in time, at its pace."""
-        if answer.is_long():
-            return False
-        size = answer.told_size if answer.told_size is not None else sizes.expected(answer.size)
-        if size > LONG:
-            return not answer.reaches(LONG + 1, now, self.time_up + LONG_AFTER)
-        return not answer.reaches(size, now, self.time_up)
+        return will_be_late(answer, sizes, now, self.time_up, self.time_up + LONG_AFTER)
 
     def passes_on(self, now: float, answer: AnswerPace, sizes: AnswerSizes) -> bool:
         """Whether an answer that is held is passed on before its request's time: nobody else will serve it.
@@ -145,26 +116,41 @@
             return True
         return answer.says_long() and answer.is_known(now) and not self.is_slow(now, answer, sizes)
 
+    def rank(self, now: float, answer: AnswerPace) -> tuple[bool, bool, int]:
+        """Which of several answers that come in is passed on: the lowest, of equals the oldest."""
+        return not answer.says_long(), answer.silent_for(now) > SILENT_MOST, -answer.size
+
     def step(self, now: float, answer: AnswerPace | None, is_passed_on: bool) -> Step:
-        """What is to be done, by the answer that has come furthest; None where none has begun."""
+        """What is to be done by an answer that comes in; None: by there being none."""
         if now >= self._bound.until:
             return Step.END
-        if is_passed_on and answer is not None and answer.is_long():
-            self.renewed = True
+        if answer is not None and (answer.is_long() or answer.says_long()):
+            return self._step_of_long(now, is_passed_on)
         if self.renewed or now < self.time_up:
             return Step.WAIT
         if answer is None or answer.silent_for(now) > SILENT_MOST:
             return Step.END
-        will_be_long = not answer.says_short() and answer.reaches(LONG + 1, now, self.time_up + LONG_AFTER)
-        if will_be_long and not is_passed_on:
+        if not is_passed_on and not answer.says_short():
             return Step.PASS_ON
-        latest = self.time_up + (LONG_AFTER if will_be_long else END_AFTER)
+        latest = self.time_up + (LONG_AFTER if may_become_long(answer, now) else END_AFTER)
         return Step.WAIT if now < latest else Step.END
 
+    def _step_of_long(self, now: float, is_passed_on: bool) -> Step:
+        """Its first byte is what is timed; how it goes on from there decides nothing."""
+        if is_passed_on:
+            self.renewed = True
+        return Step.WAIT if is_passed_on or now < self.first_byte_due() else Step.PASS_ON
+
+    def first_byte_due(self) -> float:
+        """When the first byte of a long answer has to be on its way."""
+        return self.time_up - REACHES_IN
+
     def look_at(self, now: float) -> float:
         """When to ask for the next step; infinite where nothing but the end of the process ends it."""
         if self.renewed:
             return self._bound.until
+        if now < self.first_byte_due():
+            return min(self.first_byte_due(), self._bound.until)
         if now < self.time_up:
             return self.deadline()
         latest = self.time_up + (END_AFTER if now < self.time_up + END_AFTER else LONG_AFTER)
--- a/jaspershelf/transfer_pace.py
+++ b/jaspershelf/transfer_pace.py
@@ -1,6 +1,6 @@
-"""How quickly a transfer goes on: what an answer will have brought by when, and what stands still.
+"""How quickly a transfer goes on: what of an answer has come, at which pace, and what stands still.
 
-Only measures; by when a request has to end, and by what, is `request_lease`'s to say.
+Only measures: what may still come is `answer_forecast`'s to say, by when a request ends `request_lease`'s.
 """
 
 from __future__ import annotations
@@ -9,15 +9,18 @@
 
 LONG = 64 << 10  # bytes beyond which an answer is timed by its first byte
 PACE_SPAN = 0.2  # seconds over which the present pace is measured, at the least
-PACE_PART = 0.25  # of an answer's mean pace, below which it has fallen behind
 SILENT_AFTER = 0.4  # seconds without a byte after which an answer has fallen silent
+BURST_SPAN = 0.16  # seconds within which bytes count as one burst
 STEP = 64 << 10  # bytes of a transfer, each further of which has to be moved within a time
 
 
 class AnswerPace:
     """The pace of one answer's body; all times are seconds of one clock, all sizes bytes."""
 
-    __slots__ = ("_begun", "_first", "_last", "_mark", "_since", "size", "told_size")
+    __slots__ = (
+        "_begun", "_burst", "_burst_at", "_first", "_last", "_mark", "_since", "largest_burst", "size",
+        "told_size",
+    )
 
     def __init__(self, now: float) -> None:
         """`now`: its first line has come."""
@@ -26,6 +29,9 @@
         self._begun = inf  # when the first of its body came...
         self._first = 0  # ...how much that was...
         self._last = now  # ...and when the last came
+        self.largest_burst = 0  # bytes that have come within a short time, at the most
+        self._burst_at = -inf  # when the present burst began...
+        self._burst = 0  # ...and what has come of it
         self._since = now, 0  # time and size from which the present pace is measured...
         self._mark = now, 0  # ...and from which it will be
 
@@ -38,8 +44,13 @@
             self._first = size
             self._since = self._mark = now, 0
         self._move_mark(now)
+        self._note_burst(now, size - self.size)
         self.size, self._last = size, now
 
+    def has_begun(self) -> bool:
+        """Whether any of its body has come."""
+        return self._begun < inf
+
     def is_long(self) -> bool:
         """Whether so much has come that its first byte is what counts."""
         return self.size > LONG
@@ -60,26 +71,23 @@
         """Whether it has come for long enough to tell its pace."""
         return now - self._begun >= PACE_SPAN
 
-    def reaches(self, size: int, now: float, by: float) -> bool:
-        """Whether so much will have come by then, at the pace at which it comes now."""
-        if self.size >= size:
-            return True
-        if self._begun == inf or self.silent_for(now) > SILENT_AFTER:
-            return False
-        self._move_mark(now)
-        mean = self._mean_pace(now)
-        goes_on = self._present_pace(now) >= PACE_PART * mean
-        return goes_on and self.size + mean * max(0.0, by - now) >= size
-
-    def _mean_pace(self, now: float) -> float:
+    def mean_pace(self, now: float) -> float:
         """Bytes a second: of what has come after its first piece, once there was time for more."""
         begun_for = now - self._begun
         return self.size / PACE_SPAN if begun_for < PACE_SPAN else (self.size - self._first) / begun_for
 
-    def _present_pace(self, now: float) -> float:
+    def present_pace(self, now: float) -> float:
+        """Bytes a second that come now."""
+        self._move_mark(now)
         at, size = self._since
         return (self.size - size) / max(now - at, PACE_SPAN)
 
+    def _note_burst(self, now: float, size: int) -> None:
+        if now - self._burst_at >= BURST_SPAN:
+            self._burst_at, self._burst = now, 0
+        self._burst += size
+        self.largest_burst = max(self.largest_burst, self._burst)
+
     def _move_mark(self, now: float) -> None:
         if now - self._mark[0] >= PACE_SPAN:
             self._since = self._mark
--- a/lugspur/attempts.py
+++ b/lugspur/attempts.py
@@ -6,8 +6,9 @@
 import math
 from collections.abc import Callable, Mapping, Sequence
 
+from jaspershelf.answer_forecast import AnswerSizes
 from jaspershelf.model import Outcome, Repeat, RequestClass, Send, ServerId
-from jaspershelf.request_lease import AnswerSizes, Bound, RequestLease
+from jaspershelf.request_lease import Bound, RequestLease
 from lugspur.backend_connection import Backend
 from lugspur.call import Call
 from lugspur.exchange import Exchange
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -399,9 +399,9 @@
         if exchange.pace is not None:
             exchange.pace.came(self._upstream.now(), self._size)
 
-    def has_body(self) -> bool:
-        """Whether some of the answer's body has come."""
-        return self._in_body and self._size > 0
+    def is_in_body(self) -> bool:
+        """Whether the answer's head has come, and not all of its body."""
+        return self._in_body
 
     def pass_on(self) -> None:
         """Pass on what is held of the answer, and from here on the rest as it comes."""
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -94,9 +94,12 @@
         self._owner.slow(self, exchange)
 
     def steps(self, now: float) -> list[tuple[Step, Exchange | None]]:
-        """What its lease says now: by itself, and for each attempt whose answer may be its own."""
-        coming = [row for row in self.exchanges if row.is_coming_in() and (row.pass_on or not self.passing)]
-        steps = [(self.lease.step(now, row.pace, self.passing), row) for row in coming]
+        """What its lease says now: for each attempt whose answer may be its own, in order; and by itself."""
+        coming = [
+            (self.lease.rank(now, row.pace), row.number, row, row.pace) for row in self.exchanges
+            if row.pace is not None and row.is_coming_in() and (row.pass_on or not self.passing)
+        ]
+        steps = [(self.lease.step(now, pace, self.passing), row) for _, _, row, pace in sorted(coming)]
         return [*steps, (self.lease.step(now, None, self.passing), None)]
 
     def latency(self, exchange: Exchange, now: float) -> float:
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Protocol
 
+from jaspershelf.answer_forecast import AnswerSizes
 from jaspershelf.model import Outcome
-from jaspershelf.request_lease import AnswerSizes, RequestLease
+from jaspershelf.request_lease import RequestLease
 from jaspershelf.transfer_pace import AnswerPace, Headway
 from lugspur.body import Body
 
@@ -158,8 +159,8 @@
         self._pace_every = min(PACE_EVERY_MOST, max(PACE_EVERY_LEAST, part))
 
     def is_coming_in(self) -> bool:
-        """Whether a part of a sound answer has come."""
-        return self.pace is not None and self.connection is not None and self.connection.has_body()
+        """Whether a sound answer's head has come, and not all of its body."""
+        return self.pace is not None and self.connection is not None and self.connection.is_in_body()
 
     def may_pass_on(self) -> bool:
         """Whether what has come of its answer goes to its caller now."""
--- a/lugspur/request_audit.py
+++ b/lugspur/request_audit.py
@@ -47,9 +47,11 @@
 
 
 def is_long(call: Call) -> bool:
-    """Whether more of its answer has come than is timed by its last byte, and is passed on."""
+    """Whether what is passed on to it is not timed by its last byte: by its bytes, or as it tells itself."""
     passed = call.passed_on()
-    return passed is not None and passed.pace is not None and passed.pace.size > LONG
+    if passed is None or passed.pace is None:
+        return False
+    return max(passed.pace.size, passed.pace.told_size or 0) > LONG
 
 
 def overdue_calls(calls: Mapping[str, Call], now: float, process_until: float) -> list[Call]:
