A process that was held up lately ends an answer that may become long earlier

Change: the selector notes when a turn, or a look beyond its time, took over 0.07 s; for 5 s from then on such an answer ends by T + 0.3 s. A test case beside it, whose process is stopped once before the first request, passes.

--- a/jaspershelf/request_lease.py
+++ b/jaspershelf/request_lease.py
@@ -21,6 +21,7 @@
 REACHES_IN = 0.05  # seconds that an answer takes to reach its client, at the most
 END_AFTER = LATE_MOST - HELD_UP_MOST - REACHES_IN  # seconds after its time by which a request ends...
 LONG_AFTER = 0.46  # ...or by which its answer is long, where it may still become so
+HELD_UP_AGAIN = 5.0  # seconds after a hold-up in which another one may follow
 LOOK_EVERY = 0.05  # seconds between looks at an answer that comes in after its request's time
 
 
@@ -29,11 +30,16 @@
 
     until: float  # all that was taken has ended by then; infinite while the process goes on
 
+    @property
+    def held_up_at(self) -> float:
+        """When the process was last seen to have been held up; minus infinity where it never was."""
+
 
 class Endless:
     """A bound that never comes."""
 
     until = inf
+    held_up_at = -inf
 
 
 class Step(Enum):
@@ -132,9 +138,13 @@
             return Step.END
         if not is_passed_on and not answer.says_short():
             return Step.PASS_ON
-        latest = self.time_up + (LONG_AFTER if may_become_long(answer, now) else END_AFTER)
+        latest = self.time_up + (LONG_AFTER if self._waits_longer(now, answer) else END_AFTER)
         return Step.WAIT if now < latest else Step.END
 
+    def _waits_longer(self, now: float, answer: AnswerPace) -> bool:
+        """Whether it is worth the risk that a hold-up of the process makes its end too late."""
+        return now - self._bound.held_up_at > HELD_UP_AGAIN and may_become_long(answer, now)
+
     def _step_of_long(self, now: float, is_passed_on: bool) -> Step:
         """Its first byte is what is timed; how it goes on from there decides nothing."""
         if is_passed_on:
--- a/lugspur/event_loop.py
+++ b/lugspur/event_loop.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
@@ -50,6 +51,10 @@
         """How often it has looked at its sockets."""
         return self._rereading.looks
 
+    def held_up_at(self) -> float:
+        """When the process was last seen to have been held up; minus infinity where it never was."""
+        return self._rereading.held_up_at
+
     def longest_turn(self) -> float:
         """Seconds of the longest turn since the last call."""
         return self._rereading.take_longest_turn()
@@ -82,6 +87,11 @@
     return loop.looks() if isinstance(loop, EventLoop) else int(loop.time() * LOOKS_PER_SECOND)
 
 
+def held_up_at(loop: asyncio.AbstractEventLoop) -> float:
+    """The same of any loop: one that does not tell is taken never to be held up."""
+    return loop.held_up_at() if isinstance(loop, EventLoop) else -math.inf
+
+
 def run(main: Coroutine[Any, Any, None]) -> None:
     """As `asyncio.run`, on such a loop, which goes on after a fault of its own until `main` is done."""
     with asyncio.Runner(loop_factory=EventLoop) as runner:
--- a/lugspur/front.py
+++ b/lugspur/front.py
@@ -11,6 +11,7 @@
 from lugspur.arrival import UNKNOWN
 from lugspur.caller import Caller
 from lugspur.config import Config
+from lugspur.event_loop import held_up_at
 from lugspur.listening import inherited_socket, listening_socket
 from lugspur.memory import Account
 from lugspur.request import Facts, Request
@@ -49,6 +50,11 @@
         self.lingering: dict[Caller, None] = {}  # those shut down for sending, the oldest first
         self.last_accept = 0.0
 
+    @property
+    def held_up_at(self) -> float:
+        """When the process was last seen to have been held up, in the loop's time."""
+        return held_up_at(asyncio.get_running_loop())
+
     def taking(self) -> bool:
         """Whether this process takes callers and knows the list."""
         return self.loaded.is_set() and self.serving
--- a/lugspur/selector.py
+++ b/lugspur/selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import errno
+import math
 import selectors
 import time
 from typing import Any
@@ -12,6 +13,7 @@
 LATE_LOOK = 0.05  # seconds between tries to have epoll wait for what it has refused
 REFUSALS = frozenset({errno.ENOMEM, errno.ENOSPC})  # of `epoll_ctl`: memory, or a user's limit on watches
 WAITED = 0.001  # seconds of a look at the sockets, from which on nothing was ready when it began
+HELD_UP = 0.07  # seconds of a turn, or beyond the time of a look, that a hold-up of the process takes
 OVERSLEPT = 0.05  # seconds beyond its time that a look at the sockets takes where the process was stopped
 
 Events = list[tuple[selectors.SelectorKey, int]]
@@ -105,6 +107,7 @@
         self.looked_at = time.monotonic()  # when the last look was over
         self.ready_since = self.looked_at  # what it has found ready was not ready before
         self.looks = 0
+        self.held_up_at = -math.inf  # when the process was last seen to have been held up
         self._longest_turn = 0.0
 
     def take_longest_turn(self) -> float:
@@ -115,11 +118,15 @@
     def select(self, timeout: float | None = None) -> Events:
         """As the selector's own."""
         begun = time.monotonic()
-        self._longest_turn = max(self._longest_turn, begun - self.looked_at)
+        turn = begun - self.looked_at
+        self._longest_turn = max(self._longest_turn, turn)
         before, events = self.looked_at, super().select(timeout)
         self.looked_at = time.monotonic()
         self.looks += 1
         waited = self.looked_at - begun
+        overslept = waited - max(timeout, 0.0) if timeout is not None else 0.0
+        if max(turn, overslept) > HELD_UP:
+            self.held_up_at = self.looked_at
         self.ready_since = self.looked_at if waited > WAITED else before
         if timeout is not None and waited > max(timeout, 0.0) + OVERSLEPT:
             self.ready_since = begun
--- a/tests/hostile/drawn_answers.py
+++ b/tests/hostile/drawn_answers.py
@@ -41,6 +41,8 @@
 REFUSED = 503
 TRIES, TRY_AGAIN_AFTER = 60, 0.1  # of a request that is refused unsent, and seconds between
 WATCHED_MORE = 0.8  # seconds for which a request is watched after its answer should be whole
+DOUBT = 0.1  # seconds by which the end of a request may be off
+HOLD_UP_DOUBT = 0.05  # the same of a hold-up's length
 HOLD_UP = 0.15  # seconds for which a process is stopped...
 HOLD_UP_EVERY = (0.2, 0.9)  # ...and seconds between
 BRIEF = {"Aim": 3.0, "HardLimit": 3.0, "LateWorth": 0.6}
@@ -236,22 +238,35 @@
     return Played(1, refused=1)
 
 
-async def _hold_up(target: Stage, rng: random.Random) -> None:
-    """Stop the process again and again, as long as it may be held up."""
+async def _hold_up(target: Stage) -> None:
+    """Stop the process for as long as it may be held up."""
+    with suppress(ProcessLookupError):
+        target.process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(HOLD_UP)
+        target.process.send_signal(signal.SIGCONT)
+
+
+async def _hold_up_again(target: Stage, rng: random.Random) -> None:
     while True:
         await asyncio.sleep(rng.uniform(*HOLD_UP_EVERY))
-        with suppress(ProcessLookupError):
-            target.process.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(HOLD_UP)
-            target.process.send_signal(signal.SIGCONT)
+        await _hold_up(target)
+
+
+class HoldUps(Enum):
+    """When the process is stopped for a moment."""
+
+    NEVER = "never"
+    OFTEN = "often"
+    BEFORE_TOO = "before too"  # often, and once before the first request
 
 
 def play(
-    folder: Path, numbers: Sequence[int], copies: bool = True, held_up: bool = False, at_once: int = AT_ONCE,
+    folder: Path, numbers: Sequence[int], copies: bool = True, hold_ups: HoldUps = HoldUps.NEVER,
+    at_once: int = AT_ONCE,
 ) -> Played:
     """Play the patterns of these numbers through one process; `copies`: a request may be sent twice."""
     played, names, servers = Played(), itertools.count(), Servers()
-    doubt = 0.1 + (HOLD_UP + 0.05 if held_up else 0.0)
+    doubt = DOUBT + (HOLD_UP + HOLD_UP_DOUBT if hold_ups is not HoldUps.NEVER else 0.0)
 
     async def run() -> None:
         free = asyncio.Semaphore(at_once)
@@ -261,9 +276,11 @@
                 async with free:
                     played.add(await _play_one(target, servers, names, draw(number), doubt))
 
+            if hold_ups is HoldUps.BEFORE_TOO:
+                await _hold_up(target)
             others = [asyncio.ensure_future(ask_quickly(target, kind)) for kind in ("read", "book")]
-            if held_up:
-                others.append(asyncio.ensure_future(_hold_up(target, random.Random(numbers[0]))))
+            if hold_ups is not HoldUps.NEVER:
+                others.append(asyncio.ensure_future(_hold_up_again(target, random.Random(numbers[0]))))
             await asyncio.gather(*(one(number) for number in numbers))
             for task in others:
                 task.cancel()
@@ -273,9 +290,9 @@
     return played
 
 
-def _play_part(numbers: Sequence[int], copies: bool, held_up: bool) -> Played:
+def _play_part(numbers: Sequence[int], copies: bool, hold_ups: HoldUps) -> Played:
     with tempfile.TemporaryDirectory(prefix="drawn-") as folder:
-        return play(Path(folder), numbers, copies, held_up)
+        return play(Path(folder), numbers, copies, hold_ups)
 
 
 def main() -> int:
@@ -284,11 +301,11 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--count", type=int, default=1000)
     parser.add_argument("--alone", action="store_true", help="without second copies")
-    parser.add_argument("--held-up", action="store_true", help="with stops of 0.15 s")
+    parser.add_argument("--hold-ups", type=HoldUps, default=HoldUps.NEVER, help="stops of 0.15 s")
     given = parser.parse_args()
     numbers, played = range(given.first, given.first + given.count), Played()
     with ProcessPoolExecutor(PROCESSES) as pool:
-        parts = [pool.submit(_play_part, numbers[place::PROCESSES], not given.alone, given.held_up)
+        parts = [pool.submit(_play_part, numbers[place::PROCESSES], not given.alone, given.hold_ups)
                  for place in range(PROCESSES)]
         for part in parts:
             played.add(part.result())
--- a/tests/test_drawn_answers.py
+++ b/tests/test_drawn_answers.py
@@ -5,19 +5,20 @@
 from pathlib import Path
 
 import pytest
-from hostile.drawn_answers import Shape, draw, play
+from hostile.drawn_answers import HoldUps, Shape, draw, play
 from terms import LONG, Attempt, End, Observation, Timetable, attempts_fault
 
 PATTERNS = 240  # `python -m hostile.drawn_answers` plays any number
 
 
-@pytest.mark.parametrize(("copies", "held_up", "first"), [
-    (True, False, 0), (False, False, PATTERNS), (True, True, 2 * PATTERNS),
-], ids=["copies", "no copies", "held up"])
+@pytest.mark.parametrize(("copies", "hold_ups", "first"), [
+    (True, HoldUps.NEVER, 0), (False, HoldUps.NEVER, PATTERNS), (True, HoldUps.OFTEN, 2 * PATTERNS),
+    (True, HoldUps.BEFORE_TOO, 3 * PATTERNS),
+], ids=["copies", "no copies", "held up", "held up before"])
 def test_a_sound_answer_in_lumps_or_with_a_stop_is_not_cut_off_and_ends_in_its_time(
-    copies: bool, held_up: bool, first: int, tmp_path: Path
+    copies: bool, hold_ups: HoldUps, first: int, tmp_path: Path
 ) -> None:
-    played = play(tmp_path, range(first, first + PATTERNS), copies, held_up)
+    played = play(tmp_path, range(first, first + PATTERNS), copies, hold_ups)
     assert played.broken == {}
     assert played.refused < 0.1 * played.requests
 
--- a/tests/test_request_lease.py
+++ b/tests/test_request_lease.py
@@ -24,6 +24,7 @@
     """What bounds all leases."""
 
     until: float = inf
+    held_up_at: float = -inf
 
 
 @dataclass
@@ -95,6 +96,15 @@
     assert played.passed_on_at <= 1.0 + TICK, "its first bytes are there in time"
 
 
+@pytest.mark.parametrize(("held_up_at", "latest"), [(-inf, LATE_MOST), (0.5, 0.31), (-6.0, LATE_MOST)])
+def test_an_answer_that_may_become_long_is_waited_for_less_where_the_process_was_held_up(
+    held_up_at: float, latest: float
+) -> None:
+    lumps = Timetable(0.0, ((0.1, 40_000), (1.9, 80_000)))
+    played = play(lumps, 1.0, False, Process(held_up_at=held_up_at))
+    assert latest - 0.1 < played.ended_at - 1.0 <= latest
+
+
 def test_of_several_answers_one_that_says_it_is_long_goes_before_one_that_has_come_further() -> None:
     lease, told, further, silent, older = RequestLease(), *(AnswerPace(0.0) for _ in range(4))
     lease.grant(3.0)
