--- a/tests/hostile/answer_grid.py
+++ b/tests/hostile/answer_grid.py
@@ -129,7 +129,7 @@
     seen = Observation(time.monotonic(), timeout)
     try:
         async with asyncio.timeout(timeout + watched):
-            await _follow(reader, seen)
+            await follow(reader, seen)
             seen.end = End.WHOLE
     except TimeoutError:
         pass
@@ -141,7 +141,8 @@
     return seen
 
 
-async def _follow(reader: asyncio.StreamReader, seen: Observation) -> None:
+async def follow(reader: asyncio.StreamReader, seen: Observation) -> None:
+    """Read an answer to its end, and note when what of it came."""
     answer_head = (await reader.readuntil(b"\r\n\r\n")).lower()
     seen.first_at = time.monotonic()
     seen.status = int(answer_head.split(None, 2)[1])
--- a/tests/hostile/stage.py
+++ b/tests/hostile/stage.py
@@ -151,6 +151,7 @@
     data_limit: int | None = None  # bytes: the process's `RLIMIT_DATA`
     services: Sequence[dict[str, Any]] = SERVICES
     receive_buffer: int | None = None  # bytes of a server's; it also holds little more beside that
+    callers_buffer: int | None = None  # bytes that a caller's socket receives at the process
     bounds: Mapping[str, Any] = field(default_factory=dict)  # in place of those of every stage
 
 
@@ -224,10 +225,12 @@
         if setting.data_limit is not None:
             resource.setrlimit(resource.RLIMIT_DATA, (setting.data_limit, setting.data_limit))
 
+    shared, inherited = _shared_listener(port, setting.callers_buffer)
     with (folder / "log").open("wb") as log:
         process = await asyncio.create_subprocess_exec(
             sys.executable, *PROGRAM, cwd=os.environ.get("HOSTILE_ROOT", ROOT), stderr=log, preexec_fn=limit,
-            env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(folder), **environment},
+            env={**os.environ, "RELAY_CONFIG": str(path), "TMPDIR": str(folder), **inherited, **environment},
+            pass_fds=[row.fileno() for row in shared],
         )
     made = Stage(folder, process, port, admin)
     try:
@@ -241,6 +244,20 @@
         made.measured.errors = (folder / "log").read_bytes()
         for listener in listeners:
             listener.close()
+        for sock in shared:
+            sock.close()
+
+
+def _shared_listener(port: int, receive_buffer: int | None) -> tuple[list[socket.socket], dict[str, str]]:
+    """A listening socket that the process inherits, where its connections are to have such a buffer."""
+    if receive_buffer is None:
+        return [], {}
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    listener.bind(("127.0.0.1", port))
+    listener.listen(1024)
+    return [listener], {"RELAY_LISTEN_FD": str(listener.fileno())}
 
 
 def _steady(serve: Serve) -> Serve:
