--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -134,6 +134,8 @@
             return
         found = LENGTH.search(head)
         if found is not None:
+            if int(found[1]) > HELD_MOST and sent.status == 200:  # its length says that its first byte counts
+                sent.long_from = sent.long_at = first
             await self._read(reader, int(found[1]), sent, first)
             return
         while data := await reader.read(SLOW_PIECE):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -56,6 +56,7 @@
     plan.floods = rng.choice([0.0, 0.05, 0.3])
     plan.registries = rng.random() < 0.7
     plan.upgrades = False  # two processes a member would be too many
+    plan.lumps = 0.0  # beside stops they have a test of their own
     plan.memory_mb = MEMORY_MB
     end = plan.serves_for + plan.grace
     for number, call in rng.sample(CALLS, rng.randint(0, 4)):
