--- a/tests/hostile/drawn_requests.py
+++ b/tests/hostile/drawn_requests.py
@@ -217,8 +217,8 @@
     return f"end: {fault}" if fault else ""
 
 
-def _describe(upload: Upload, seen: Observation) -> str:
-    return (f"{upload}: last byte written {seen.sent_at:.2f}, status {seen.status},"
+def _describe(upload: Upload, name: str, seen: Observation) -> str:
+    return (f"{upload} {name}: last byte written {seen.sent_at:.2f}, status {seen.status},"
             f" {seen.end.value} {seen.ended_at - seen.sent_at:+.2f} s from then")
 
 
@@ -230,7 +230,7 @@
         seen = await _observe(target, upload, name)
         fault = _fault(seen, servers.begun[name], hold_up.excess)
         if fault or servers.begun[name] or seen.status != REFUSED:
-            return Played(1, {_describe(upload, seen): fault} if fault else {})
+            return Played(1, {_describe(upload, name, seen): fault} if fault else {})
         await asyncio.sleep(TRY_AGAIN_AFTER)
     return Played(1, refused=1)
 
