--- a/review/6/case.py
+++ b/review/6/case.py
@@ -24,7 +24,7 @@
     request,
 )
 
-PROXIES, SERVERS = 3, 3
+PROXIES, SERVERS = 5, 3
 CHAINS = 2  # requests that the caller of each proxy works on at a time...
 CALLS = 3  # ...each with so many calls, one after another
 KEYS = 60
--- a/review/standins/stage.py
+++ b/review/standins/stage.py
@@ -336,6 +336,12 @@
         finally:
             writer.close()
 
+    def complaints(self) -> list[str]:
+        """Lines of its log that tell of a fault of its own, the first ten; for the record alone."""
+        lines = self.log.read_text(errors="replace").splitlines() if self.log is not None else []
+        words = ("invariant.violated", ".fault", "Traceback")
+        return [line[:300] for line in lines if any(word in line for word in words)][:10]
+
     def signal(self, number: signal.Signals) -> None:
         """Send the process a signal."""
         if self.process is not None and self.process.returncode is None:
@@ -495,6 +501,9 @@
             broken = await case(stage)
         crashed = [proxy.name for proxy in stage.proxies if not proxy.running()]
         stage.note("verdict", broken=len(broken), ended=crashed)
+        for proxy in stage.proxies:
+            for line in proxy.complaints():
+                stage.note("log", name=proxy.name, line=line)
         for line in broken[:20]:
             stage.note("broken", what=line)
             print(f"broken: {line}")
