--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,132 +1,142 @@
-"""A proxy's process is replaced by a second one while clients fetch large answers."""
+"""Idle clients fill the descriptors while others write requests at the pace that the pages allow."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
-import socket
+import time
 from contextlib import suppress
 
 from stage import (
     DEADLINES,
+    HOST,
     TROUBLE,
     Exchange,
+    Proxy,
     Stage,
+    answer,
     fresh_id,
     main,
-    platform_listener,
-    read_body,
-    read_head,
+    read_answer,
     request,
 )
 
-CLIENTS = 80  # that send requests: fewer than a third of the 384 descriptors
-SERVERS = 8
-SIZE_LEAST, SIZE_MOST = 10_000_000, 32_000_000  # bytes of an answer: "answers and bodies reach 32 MB"
-READS = 2_500_000  # bytes a second that a client reads
-PIECE = bytes(64_000)
-READ_PIECE = 100_000
-WORK = 0.03
-UPGRADE_AT = 10.0  # seconds after the begin
-KILL_AFTER = 3.0 + 0.7  # seconds from SIGTERM to SIGKILL: the longest deadline, and 0.7 s
-ENDS_EARLY = 0.7  # seconds before SIGKILL within which the rest of an answer need not be complete
-PLAY_FOR = 20.0
+CLIENTS = 40  # that send requests: fewer than a third of the descriptors
+SOCKETS = 384
+BODY = 60_000  # bytes of a request
+PACE = 64_000  # bytes a second at which a client writes it: "a body at 64 kB a second"
+PIECE = 4_000
+THINK = 1.5  # seconds between requests, at the most
+CROWD, CROWD_IN = 360, 2.0  # idle clients, and the seconds in which they come
+CROWD_AT, CROWD_FOR = 6.0, 12.0  # seconds after the begin, and how long idle clients stay
+PLAY_FOR = 22.0
+READ_AFTER = 0.25  # seconds after which what was written on an open connection counts as read by the proxy
+ANSWER_MOST = 0.5  # seconds after its time within which a request has to get its final answer
+WORK = 0.05
+
+
+async def work(exchange: Exchange) -> None:
+    """A sound server."""
+    await asyncio.sleep(WORK)
+    await exchange.send(answer(200, exchange.request.id.encode()))
+
+
+class Client:
+    """One client with a connection that it keeps; a request is written to its last byte, then read."""
+
+    def __init__(self, stage: Stage, proxy: Proxy, rng: random.Random, broken: list[str]) -> None:
+        self._stage, self._proxy, self._rng, self._broken = stage, proxy, rng, broken
+        self._reader: asyncio.StreamReader | None = None
+        self._writer: asyncio.StreamWriter | None = None
+        self.sent = self.answered = self.crossed = 0
+
+    async def play(self, until: float) -> None:
+        """Send one request after another."""
+        while self._stage.now() < until:
+            await asyncio.sleep(self._rng.uniform(0.0, THINK))
+            if self._reader is None or self._reader.at_eof():
+                self._drop()
+                try:
+                    self._reader, self._writer = await asyncio.open_connection(*self._proxy.listen)
+                except OSError:
+                    continue
+            await self._ask()
+        self._drop()
+
+    def _drop(self) -> None:
+        if self._writer is not None:
+            self._writer.transport.abort()
+        self._reader = self._writer = None
+
+    async def _ask(self) -> None:
+        assert self._reader is not None and self._writer is not None
+        number, kind = fresh_id(), "move-submit"
+        timeout = DEADLINES[kind]
+        text = request(kind, number, timeout, body=bytes(BODY))
+        begun, ended_at = time.monotonic(), None
+        self.sent += 1
+        whole = True
+        for start in range(0, len(text), PIECE):
+            try:
+                self._writer.write(text[start:start + PIECE])
+                await self._writer.drain()
+            except OSError:  # the connection was reset under it: it is not written to its end
+                whole = False
+                break
+            if ended_at is None and self._reader.at_eof():
+                ended_at = time.monotonic()
+            await asyncio.sleep(PIECE / PACE)
+        status = 0
+        with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            found = await asyncio.wait_for(read_answer(self._reader), timeout + ANSWER_MOST)
+            status = found.status
+        if status:
+            self.answered += 1
+            self._stage.note("answered", id=number, status=status)
+            return
+        read_for = None if ended_at is None else round(ended_at - begun, 3)
+        ran = len(self._stage.runs.get(number, ()))
+        self._stage.note("unanswered", id=number, written_whole=whole, ended_after=read_for, ran=ran)
+        if whole and read_for is not None and read_for >= READ_AFTER:
+            self._broken.append(f"{number}: closed without an answer {read_for} s after its first byte")
+        else:
+            self.crossed += 1
+        self._drop()
+
+
+async def idle(proxy: Proxy, after: float, until: float, stage: Stage) -> None:
+    """A client that connects, sends nothing and stays; it comes again when it is closed."""
+    await asyncio.sleep(after)
+    while stage.now() < until:
+        try:
+            reader, writer = await asyncio.open_connection(*proxy.listen)
+        except OSError:
+            await asyncio.sleep(0.2)
+            continue
+        with suppress(OSError, TimeoutError):
+            await asyncio.wait_for(reader.read(1), max(0.01, until - stage.now()))
+        writer.transport.abort()
+        await asyncio.sleep(0.5)
 
 
 async def play(stage: Stage) -> list[str]:
-    """Clients fetch one large answer after another; the process is replaced."""
+    """Clients at work; a crowd of idle ones comes for some seconds."""
     rng = random.Random(stage.rng_seed)
-    given: dict[str, str] = {}  # by id: the server that gives its answer now
-    term_at = kill_at = float("inf")
-
-    async def work(exchange: Exchange) -> None:
-        size = int(exchange.request.start.split()[1].rpartition("-")[2])
-        await asyncio.sleep(WORK)
-        given[exchange.request.id] = exchange.backend.name
-        await exchange.send(f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode())
-        for start in range(0, size, len(PIECE)):
-            await exchange.send(PIECE[:size - start])
-
-    for number in range(SERVERS):
+    for number in range(3):
         await stage.add_backend(f"s-{number}", work)
-    listener = platform_listener()
-    first = await stage.add_proxy("n0", listener=listener)
+    proxy = await stage.add_proxy("n0", sockets=SOCKETS)
     broken: list[str] = []
-    counts = {"served": 0, "begun": 0, "refused": 0, "failed": 0, "cut": 0, "in_time": 0}
-    begun_at = stage.now()
-    until = begun_at + PLAY_FOR
-
-    async def ask(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        number, kind = fresh_id(), "game-history"
-        size, got = rng.randrange(SIZE_LEAST, SIZE_MOST), 0
-        sent_at = stage.now()
-        writer.write(request(kind, number, DEADLINES[kind], f"/api/size-{size}"))
-        try:
-            found = await read_head(reader)
-            if found.status != 200:
-                counts["refused" if found.status in (429, 503) else "failed"] += 1
-                await read_body(reader, found)
-                if found.headers.get("connection", "").lower() == "close":
-                    raise ConnectionError("closed after its answer")
-                await asyncio.sleep(0.2)
-                return
-            counts["begun"] += 1
-            loop = asyncio.get_running_loop()
-            reads_from = loop.time()
-            while got < size and stage.now() < until:
-                data = await reader.read(READ_PIECE)
-                if not data:
-                    raise ConnectionError("the connection has ended")
-                got += len(data)
-                await asyncio.sleep(max(0.0, reads_from + got / READS - loop.time()))
-            counts["served"] += got == size
-        except (OSError, asyncio.IncompleteReadError) as fault:
-            at = stage.now()
-            if not size or not got:
-                raise
-            counts["cut"] += 1
-            left = size - got
-            in_time = left / READS < kill_at - ENDS_EARLY - at
-            stage.note("cut", id=number, got=got, of=size, server=given.get(number), fault=repr(fault),
-                       after_term=round(at - term_at, 3), rest_in_time=in_time)
-            if sent_at < term_at <= at and in_time:
-                counts["in_time"] += 1
-                broken.append(f"{number}: {got} of {size} bytes had come, then {fault!r}, "
-                              f"{at - term_at:.2f} s after SIGTERM; the rest takes {left / READS:.2f} s")
-            raise
-
-    async def client() -> None:
-        await asyncio.sleep(rng.uniform(0.0, 6.0))
-        while stage.now() < until:
-            sock = socket.create_connection(first.listen)
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 128 << 10)
-            reader, writer = await asyncio.open_connection(sock=sock, limit=READ_PIECE)
-            with suppress(OSError, asyncio.IncompleteReadError):
-                while stage.now() < until:
-                    await ask(reader, writer)
-            writer.transport.abort()
-            await asyncio.sleep(0.2)
-
-    async def upgrade() -> None:
-        nonlocal term_at, kill_at
-        await asyncio.sleep(UPGRADE_AT)
-        stage.note("figures before", **await first.telemetry())
-        await stage.replace(first, listener)
-        term_at = stage.now()
-        kill_at = term_at + KILL_AFTER
-        first.signal(signal.SIGTERM)
-        stage.note("SIGTERM")
-        await asyncio.sleep(KILL_AFTER)
-        await first.end()
-        stage.note("SIGKILL")
-
-    tasks = [client() for _ in range(CLIENTS)]
+    clients = [Client(stage, proxy, rng, broken) for _ in range(CLIENTS)]
+    begun = stage.now()
+    tasks = [client.play(begun + PLAY_FOR) for client in clients]
     if TROUBLE:
-        tasks.append(upgrade())
+        until = begun + CROWD_AT + CROWD_FOR
+        tasks += [idle(proxy, CROWD_AT + CROWD_IN * n / CROWD, until, stage) for n in range(CROWD)]
     await asyncio.gather(*tasks)
-    stage.note("sum", **counts)
-    print(counts)
+    stage.note("sum", sent=sum(c.sent for c in clients), answered=sum(c.answered for c in clients),
+               crossed=sum(c.crossed for c in clients), host=HOST)
+    print(f"sent {sum(c.sent for c in clients)}, answered {sum(c.answered for c in clients)}, "
+          f"crossed {sum(c.crossed for c in clients)}")
     return broken
 
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,13 +1,12 @@
-"""Servers that were sound for a while give some answers a second time, some milliseconds late.
+"""Servers that turn some requests away give some of those answers a second time, some milliseconds late.
 
-The proxies are those of a later tier: the only caller of each is a server of the tier above, which makes
-calls one after another. An answer holds the key that was asked for, as a fixed page of that key does.
+The proxies are those of a later tier: the only caller of each is a server of the tier above, which makes calls
+for all requests that have reached it together.
 """
 
 from __future__ import annotations
 
 import asyncio
-import math
 import random
 from contextlib import suppress
 
@@ -24,31 +23,24 @@
     request,
 )
 
-PROXIES, SERVERS = 5, 3
-CHAINS = 2  # requests that the caller of each proxy works on at a time...
-CALLS = 3  # ...each with so many calls, one after another
-KEYS = 60
-WORK, SPREAD = 0.014, 0.5  # seconds of work of a call (a share of "47 to 86 ms"), log-normal, and its cv
-SOUND_FOR = 15.0  # seconds
-PLAY_FOR = 45.0
-REPEATED = 0.03  # part of the answers that come a second time
-LATE = (0.002, 0.008)  # seconds after the first: "some milliseconds late"
-PAUSE = 0.05  # seconds between two requests of the caller, in the mean
-
-
-def page(target: str) -> bytes:
-    """What each server answers to this target: the same at any time."""
-    return f"the board of {target}".encode()
+PROXIES, SERVERS = 12, 3
+CLIENTS = 10  # calls that the caller of each proxy makes at a time
+EVERY = 0.5  # seconds in which it makes each of them once ("a hall of players waits on the same clock")...
+SPREAD = 0.02  # ...all within so many
+WORK = (0.015, 0.045)  # seconds
+FULL = 0.25  # part of the requests that a server turns away unseen...
+REPEATED = 0.15  # ...and of those answers that come a second time: 4 in 100 of all
+LATE = (0.0105, 0.0135)  # seconds after the first: "some milliseconds late"
+KIND = "entry-pay"  # "must never run twice"
+PLAY_FOR = 40.0
 
 
 async def play(stage: Stage) -> list[str]:
-    """Callers at work; servers begin to repeat some answers."""
+    """Callers make calls that must not run twice."""
     rng = random.Random(stage.rng_seed)
-    repeated = 0
-    begins = math.inf
-    spread = math.sqrt(math.log(1.0 + SPREAD * SPREAD))
-    mean = math.log(WORK) - spread * spread / 2.0
     tasks: set[asyncio.Task[None]] = set()
+    executed: dict[str, list[str]] = {}  # by id: the servers that have run it
+    counts = {"sent": 0, "served": 0, "refused": 0, "failed": 0, "repeated": 0}
 
     async def again(exchange: Exchange, text: bytes) -> None:
         await asyncio.sleep(rng.uniform(*LATE))
@@ -56,55 +48,52 @@
             await exchange.send(text)
 
     async def work(exchange: Exchange) -> None:
-        nonlocal repeated
-        await asyncio.sleep(rng.lognormvariate(mean, spread))
-        target = exchange.request.start.split()[1]
-        text = answer(200, page(target))
-        await exchange.send(text)
-        if stage.now() >= begins and rng.random() < REPEATED:
-            repeated += 1
-            stage.note("repeats", id=exchange.request.id, backend=exchange.backend.name,
-                       connection=exchange.connection)
-            task = asyncio.create_task(again(exchange, text))
-            tasks.add(task)
-            task.add_done_callback(tasks.discard)
+        if rng.random() < FULL:
+            stage.note("turned away", id=exchange.request.id, backend=exchange.backend.name)
+            text = answer(503, X_Not_Processed="1")
+            await exchange.send(text)
+            if TROUBLE and rng.random() < REPEATED:
+                counts["repeated"] += 1
+                stage.note("repeats", id=exchange.request.id, backend=exchange.backend.name,
+                           connection=exchange.connection)
+                task = asyncio.create_task(again(exchange, text))
+                tasks.add(task)
+                task.add_done_callback(tasks.discard)
+            return
+        executed.setdefault(exchange.request.id, []).append(exchange.backend.name)
+        stage.note("executed", id=exchange.request.id, backend=exchange.backend.name,
+                   connection=exchange.connection)
+        await asyncio.sleep(rng.uniform(*WORK))
+        await exchange.send(answer(200, exchange.request.id.encode()))
 
     for number in range(SERVERS):
         await stage.add_backend(f"s-{number}", work)
     proxies = [await stage.add_proxy(f"n{n}", of_all=PROXIES, tier=1) for n in range(PROXIES)]
-    broken: list[str] = []
-    counts = {"sent": 0, "served": 0, "foreign": 0}
 
-    async def chain(proxy: Proxy, until: float) -> None:
+    async def client(proxy: Proxy, until: float) -> None:
         reader, writer = await asyncio.open_connection(*proxy.listen)
         while stage.now() < until:
-            await asyncio.sleep(rng.expovariate(1.0 / PAUSE))
-            for _ in range(CALLS):
-                number, target = fresh_id(), f"/api/user-{rng.randrange(KEYS)}"
-                counts["sent"] += 1
-                writer.write(request("board-view", number, DEADLINES["board-view"], target))
-                found = await read_answer(reader)
-                if found.status == 200:
-                    counts["served"] += 1
-                    if found.body != page(target):
-                        counts["foreign"] += 1
-                        ran = [row[1] for row in stage.runs.get(number, [])]
-                        stage.note("foreign", id=number, proxy=proxy.name, asked=target,
-                                   got=found.body.decode("latin-1"), ran=ran)
-                        broken.append(f"{number} asked for {page(target)!r}, was served {found.body!r}")
-                if found.headers.get("connection", "").lower() == "close":
-                    writer.close()
-                    reader, writer = await asyncio.open_connection(*proxy.listen)
+            tick = EVERY - stage.now() % EVERY
+            await asyncio.sleep(tick + rng.uniform(0.0, SPREAD))
+            number = fresh_id()
+            counts["sent"] += 1
+            stage.note("sent", id=number, proxy=proxy.name)
+            writer.write(request(KIND, number, DEADLINES[KIND], body=b"one entry"))
+            found = await read_answer(reader)
+            how = "served" if found.status == 200 else "refused" if found.status in (429, 503) else "failed"
+            counts[how] += 1
+            stage.note("answered", id=number, status=found.status)
+            if found.headers.get("connection", "").lower() == "close":
+                writer.close()
+                reader, writer = await asyncio.open_connection(*proxy.listen)
         writer.close()
 
-    begun = stage.now()
-    if TROUBLE:
-        begins = begun + SOUND_FOR
-    until = begun + PLAY_FOR
-    await asyncio.gather(*(chain(proxy, until) for proxy in proxies for _ in range(CHAINS)))
-    stage.note("sum", repeated=repeated, **counts)
-    print(f"{counts}, answers repeated {repeated}")
-    return broken
+    until = stage.now() + PLAY_FOR
+    await asyncio.gather(*(client(proxy, until) for proxy in proxies for _ in range(CLIENTS)))
+    stage.note("sum", **counts)
+    print(counts)
+    return [f"{number} has run at {' and '.join(where)}" for number, where in executed.items()
+            if len(where) > 1]
 
 
 main(play, __file__)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,142 +1,114 @@
-"""Idle clients fill the descriptors while others write requests at the pace that the pages allow."""
+"""Many clients fetch large answers at a time, and read them slowly."""
 
 from __future__ import annotations
 
 import asyncio
 import random
-import time
+import socket
 from contextlib import suppress
+from pathlib import Path
 
 from stage import (
     DEADLINES,
-    HOST,
     TROUBLE,
     Exchange,
     Proxy,
     Stage,
-    answer,
     fresh_id,
     main,
-    read_answer,
+    read_head,
     request,
 )
 
-CLIENTS = 40  # that send requests: fewer than a third of the descriptors
-SOCKETS = 384
-BODY = 60_000  # bytes of a request
-PACE = 64_000  # bytes a second at which a client writes it: "a body at 64 kB a second"
-PIECE = 4_000
-THINK = 1.5  # seconds between requests, at the most
-CROWD, CROWD_IN = 360, 2.0  # idle clients, and the seconds in which they come
-CROWD_AT, CROWD_FOR = 6.0, 12.0  # seconds after the begin, and how long idle clients stay
-PLAY_FOR = 22.0
-READ_AFTER = 0.25  # seconds after which what was written on an open connection counts as read by the proxy
-ANSWER_MOST = 0.5  # seconds after its time within which a request has to get its final answer
-WORK = 0.05
+MEMORY_MB, SOCKETS = 64, 1024  # "32 to 192 MB of memory", "256 to 1,024 descriptors"
+CLIENTS = 330  # fewer than a third of the descriptors
+SERVERS = 16
+SIZE = 32_000_000  # bytes of an answer, at the most: "answers and bodies reach 32 MB, many at a time"
+SIZE_SOUND = 1_000_000  # without the disruption
+COME_IN = 3.0  # seconds in which the clients send their requests
+SLOW_PIECE, SLOW_EVERY = 16_000, 0.25  # a slow client reads 64 kB a second
+PLAY_FOR = 40.0
+PIECE = bytes(50_000)
+GIVES = 500_000  # bytes a second that a server gives of an answer, at the most
+WORK = 0.03
 
 
 async def work(exchange: Exchange) -> None:
-    """A sound server."""
+    """A sound server with a large answer."""
+    size = SIZE if TROUBLE else SIZE_SOUND
     await asyncio.sleep(WORK)
-    await exchange.send(answer(200, exchange.request.id.encode()))
+    await exchange.send(f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n".encode())
+    left, loop = size, asyncio.get_running_loop()
+    begun = loop.time()
+    while left:
+        piece = PIECE[:left]
+        await exchange.send(piece)
+        left -= len(piece)
+        await asyncio.sleep(max(0.0, begun + (size - left) / GIVES - loop.time()))
 
 
-class Client:
-    """One client with a connection that it keeps; a request is written to its last byte, then read."""
-
-    def __init__(self, stage: Stage, proxy: Proxy, rng: random.Random, broken: list[str]) -> None:
-        self._stage, self._proxy, self._rng, self._broken = stage, proxy, rng, broken
-        self._reader: asyncio.StreamReader | None = None
-        self._writer: asyncio.StreamWriter | None = None
-        self.sent = self.answered = self.crossed = 0
-
-    async def play(self, until: float) -> None:
-        """Send one request after another."""
-        while self._stage.now() < until:
-            await asyncio.sleep(self._rng.uniform(0.0, THINK))
-            if self._reader is None or self._reader.at_eof():
-                self._drop()
-                try:
-                    self._reader, self._writer = await asyncio.open_connection(*self._proxy.listen)
-                except OSError:
-                    continue
-            await self._ask()
-        self._drop()
-
-    def _drop(self) -> None:
-        if self._writer is not None:
-            self._writer.transport.abort()
-        self._reader = self._writer = None
-
-    async def _ask(self) -> None:
-        assert self._reader is not None and self._writer is not None
-        number, kind = fresh_id(), "move-submit"
-        timeout = DEADLINES[kind]
-        text = request(kind, number, timeout, body=bytes(BODY))
-        begun, ended_at = time.monotonic(), None
-        self.sent += 1
-        whole = True
-        for start in range(0, len(text), PIECE):
-            try:
-                self._writer.write(text[start:start + PIECE])
-                await self._writer.drain()
-            except OSError:  # the connection was reset under it: it is not written to its end
-                whole = False
-                break
-            if ended_at is None and self._reader.at_eof():
-                ended_at = time.monotonic()
-            await asyncio.sleep(PIECE / PACE)
-        status = 0
-        with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-            found = await asyncio.wait_for(read_answer(self._reader), timeout + ANSWER_MOST)
-            status = found.status
-        if status:
-            self.answered += 1
-            self._stage.note("answered", id=number, status=status)
-            return
-        read_for = None if ended_at is None else round(ended_at - begun, 3)
-        ran = len(self._stage.runs.get(number, ()))
-        self._stage.note("unanswered", id=number, written_whole=whole, ended_after=read_for, ran=ran)
-        if whole and read_for is not None and read_for >= READ_AFTER:
-            self._broken.append(f"{number}: closed without an answer {read_for} s after its first byte")
-        else:
-            self.crossed += 1
-        self._drop()
-
-
-async def idle(proxy: Proxy, after: float, until: float, stage: Stage) -> None:
-    """A client that connects, sends nothing and stays; it comes again when it is closed."""
-    await asyncio.sleep(after)
-    while stage.now() < until:
-        try:
-            reader, writer = await asyncio.open_connection(*proxy.listen)
-        except OSError:
-            await asyncio.sleep(0.2)
-            continue
-        with suppress(OSError, TimeoutError):
-            await asyncio.wait_for(reader.read(1), max(0.01, until - stage.now()))
-        writer.transport.abort()
-        await asyncio.sleep(0.5)
+def resident(proxy: Proxy) -> int:
+    """Bytes of the process's memory, at the most so far."""
+    assert proxy.process is not None
+    for line in Path(f"/proc/{proxy.process.pid}/status").read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) << 10
+    return 0
 
 
 async def play(stage: Stage) -> list[str]:
-    """Clients at work; a crowd of idle ones comes for some seconds."""
+    """All clients come within seconds, and read on until the end of the play."""
     rng = random.Random(stage.rng_seed)
-    for number in range(3):
+    for number in range(SERVERS):
         await stage.add_backend(f"s-{number}", work)
-    proxy = await stage.add_proxy("n0", sockets=SOCKETS)
+    proxy = await stage.add_proxy("n0", memory_mb=MEMORY_MB, sockets=SOCKETS)
     broken: list[str] = []
-    clients = [Client(stage, proxy, rng, broken) for _ in range(CLIENTS)]
-    begun = stage.now()
-    tasks = [client.play(begun + PLAY_FOR) for client in clients]
-    if TROUBLE:
-        until = begun + CROWD_AT + CROWD_FOR
-        tasks += [idle(proxy, CROWD_AT + CROWD_IN * n / CROWD, until, stage) for n in range(CROWD)]
-    await asyncio.gather(*tasks)
-    stage.note("sum", sent=sum(c.sent for c in clients), answered=sum(c.answered for c in clients),
-               crossed=sum(c.crossed for c in clients), host=HOST)
-    print(f"sent {sum(c.sent for c in clients)}, answered {sum(c.answered for c in clients)}, "
-          f"crossed {sum(c.crossed for c in clients)}")
+    counts = {"served": 0, "begun": 0, "refused": 0, "failed": 0, "cut": 0}
+    until = stage.now() + PLAY_FOR
+
+    async def client(after: float) -> None:
+        await asyncio.sleep(after)
+        sock = socket.create_connection(proxy.listen)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        reader, writer = await asyncio.open_connection(sock=sock, limit=SLOW_PIECE)
+        number, kind = fresh_id(), "game-history"
+        writer.write(request(kind, number, DEADLINES[kind]))
+        got = size = 0
+        try:
+            found = await read_head(reader)
+            if found.status != 200:
+                counts["refused" if found.status in (429, 503) else "failed"] += 1
+                return
+            counts["begun"] += 1
+            size = int(found.headers["content-length"])
+            while got < size and stage.now() < until:
+                data = await reader.read(SLOW_PIECE)
+                if not data:
+                    raise ConnectionError("the connection has ended")
+                got += len(data)
+                if TROUBLE:
+                    await asyncio.sleep(SLOW_EVERY)
+            counts["served"] += got == size
+        except (OSError, asyncio.IncompleteReadError) as fault:
+            counts["cut"] += 1
+            stage.note("cut", id=number, got=got, of=size, fault=repr(fault))
+            broken.append(f"{number}: {got} of {size} bytes came, then {fault!r}")
+        finally:
+            writer.transport.abort()
+
+    async def look() -> None:
+        while stage.now() < until:
+            await asyncio.sleep(1.0)
+            figures = {}
+            with suppress(OSError, TimeoutError, asyncio.IncompleteReadError):
+                figures = await proxy.telemetry()
+            memory = {key: value for key, value in figures.items() if key.startswith("memory.")}
+            stage.note("figures", **memory)
+
+    await asyncio.gather(look(), *(client(rng.uniform(0.0, COME_IN)) for _ in range(CLIENTS)))
+    most = resident(proxy)
+    stage.note("sum", resident_most=most, **counts)
+    print(f"{counts}, resident at the most {most}")
     return broken
 
 
