--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,7 @@
 """Servers that turn some requests away give some of those answers a second time, some milliseconds late.
 
-The proxies are those of a later tier: the only caller of each is a server of the tier above, which makes calls
-for all requests that have reached it together.
+The proxies are those of a later tier: the only caller of each is a server of the tier above, which makes
+calls for all requests that have reached it together.
 """
 
 from __future__ import annotations
