--- a/review/7/case.py
+++ b/review/7/case.py
@@ -27,7 +27,8 @@
 SIZE_SOUND = 1_000_000  # without the disruption
 COME_IN = 3.0  # seconds in which the clients send their requests
 SLOW_PIECE, SLOW_EVERY = 16_000, 0.25  # a slow client reads 64 kB a second
-PLAY_FOR = 40.0
+PLAY_FOR = 75.0
+GO_ON_FOR = 5.0  # seconds after the first answer that is cut
 PIECE = bytes(50_000)
 GIVES = 500_000  # bytes a second that a server gives of an answer, at the most
 WORK = 0.03
@@ -67,6 +68,7 @@
     until = stage.now() + PLAY_FOR
 
     async def client(after: float) -> None:
+        nonlocal until
         await asyncio.sleep(after)
         sock = socket.create_connection(proxy.listen)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
@@ -91,6 +93,7 @@
             counts["served"] += got == size
         except (OSError, asyncio.IncompleteReadError) as fault:
             counts["cut"] += 1
+            until = min(until, stage.now() + GO_ON_FOR)
             stage.note("cut", id=number, got=got, of=size, fault=repr(fault))
             broken.append(f"{number}: {got} of {size} bytes came, then {fault!r}")
         finally:
