A long answer of no told length is not cut a piece before it is known to be long

Cause: RequestLease ended whatever had not passed 64 KiB by LONG_AFTER, whatever its pace said; the next piece would have passed it before the request was lost.

Evidence: all cuts came 1.055 to 1.057 s after the request, none at END_AFTER, so no hold-up; the lease alone on a driven clock cuts heads at 0.075, 0.09 and 0.1 s: the new test failed for these three before the change.

Change: an answer that comes evenly and is long by T + 0.5 s at its pace, taken between its pieces, is waited for one piece longer, until T + 0.55 s. The audit of open requests, which would have ended it, asks the lease.

--- a/jaspershelf/answer_forecast.py
+++ b/jaspershelf/answer_forecast.py
@@ -1,18 +1,24 @@
 """What an answer may still become, where no fact says it: forecasts alone, each of which may be wrong.
 
 What is known (bytes that have come, a length that is told) is `transfer_pace`'s, and goes before a forecast.
-An error costs as follows. `will_be_late` decides whether another server is asked: an attempt too many, or one
-too late. `may_become_long` decides how shortly before a request is lost an answer that is not long yet is
-ended: a long one is cut, or a short one ends late where the process is held up just then.
+An error costs as follows. `becomes_long_at` decides whether an answer is waited for beyond the last moment at
+which a short one could end in time: a long one is cut, or a short one ends too late. `will_be_late` decides
+whether another server is asked: an attempt too many, or one too late. `may_become_long` decides how shortly
+before a request is lost an answer that is not long yet is ended: a long one is cut, or a short one ends late
+where the process is held up just then.
 """
 
 from __future__ import annotations
 
+from math import inf
+
 from jaspershelf.transfer_pace import LONG, SILENT_AFTER, AnswerPace
 
 PACE_PART = 0.25  # of an answer's mean pace, below which it has fallen behind
 SILENT_MOST = 2.0  # seconds of its server's silence after which nothing more is waited for
 BURST_MARGIN = 2.0  # times the most that has come at once, that may come at once next
+EVEN_GAP = 0.1  # seconds between two pieces of an answer that comes evenly, at the most
+EVEN_PART = 0.5  # of its mean pace, that comes now of such an answer, at the least
 SIZES_SEEN = 8.0  # whole answers of a class over which what is usual is smoothed
 USUALLY_LONG = 0.5  # part of them that are long, from which on the next one is expected to be
 
@@ -60,6 +66,16 @@
     return not reaches(answer, size, now, whole_by)
 
 
+def becomes_long_at(answer: AnswerPace, now: float) -> float:
+    """When an answer that comes evenly will be long, at its pace; infinite where it does not come evenly."""
+    pace, silent_for = answer.pace_between_pieces(), answer.silent_for(now)
+    if answer.says_short() or silent_for > EVEN_GAP or not pace:
+        return inf
+    if answer.present_pace(now) < EVEN_PART * pace:
+        return inf
+    return now - silent_for + max(0, LONG + 1 - answer.size) / pace
+
+
 def may_become_long(answer: AnswerPace, now: float) -> bool:
     """Whether one more burst, larger than any so far, may make an answer long; its pace need not be even."""
     if answer.says_short() or answer.silent_for(now) > SILENT_MOST:
--- a/jaspershelf/request_lease.py
+++ b/jaspershelf/request_lease.py
@@ -12,7 +12,13 @@
 from math import inf
 from typing import Protocol
 
-from jaspershelf.answer_forecast import SILENT_MOST, AnswerSizes, may_become_long, will_be_late
+from jaspershelf.answer_forecast import (
+    SILENT_MOST,
+    AnswerSizes,
+    becomes_long_at,
+    may_become_long,
+    will_be_late,
+)
 from jaspershelf.model import NEVER_RAN, Outcome
 from jaspershelf.transfer_pace import AnswerPace
 
@@ -20,7 +26,9 @@
 HELD_UP_MOST = 0.15  # seconds for which the process may be held up between its clock and its write
 REACHES_IN = 0.05  # seconds that an answer takes to reach its client, at the most
 END_AFTER = LATE_MOST - HELD_UP_MOST - REACHES_IN  # seconds after its time by which a request ends...
-LONG_AFTER = 0.46  # ...or by which its answer is long, where it may still become so
+LONG_AFTER = 0.46  # ...or by which its answer is long, where it may still become so...
+PIECE_EVERY = 0.05  # seconds between the pieces of an answer that comes evenly
+EVENLY_LONG_AFTER = LATE_MOST + PIECE_EVERY  # ...or is, where its pace says that it is long before it is lost
 HELD_UP_AGAIN = 5.0  # seconds after a hold-up in which another one may follow
 LOOK_EVERY = 0.05  # seconds between looks at an answer that comes in after its request's time
 
@@ -138,12 +146,23 @@
             return Step.END
         if not is_passed_on and not answer.says_short():
             return Step.PASS_ON
-        latest = self.time_up + (LONG_AFTER if self._waits_longer(now, answer) else END_AFTER)
-        return Step.WAIT if now < latest else Step.END
+        return Step.WAIT if now < self.time_up + self._ends_after(now, answer) else Step.END
 
-    def _waits_longer(self, now: float, answer: AnswerPace) -> bool:
-        """Whether it is worth the risk that a hold-up of the process makes its end too late."""
-        return now - self._bound.held_up_at > HELD_UP_AGAIN and may_become_long(answer, now)
+    def _ends_after(self, now: float, answer: AnswerPace) -> float:
+        """Seconds after its time by which it ends, unless its answer is long by then.
+
+        A longer wait is at the risk that a hold-up of the process makes its end too late.
+        """
+        if now - self._bound.held_up_at <= HELD_UP_AGAIN:
+            return END_AFTER
+        if self.is_evenly_long(now, answer):
+            return EVENLY_LONG_AFTER
+        return LONG_AFTER if may_become_long(answer, now) else END_AFTER
+
+    def is_evenly_long(self, now: float, answer: AnswerPace) -> bool:
+        """Whether an answer comes so evenly that its pace says that it is long before its request is lost."""
+        due = self.time_up + LATE_MOST
+        return now < due + PIECE_EVERY and becomes_long_at(answer, now) <= due
 
     def _step_of_long(self, now: float, is_passed_on: bool) -> Step:
         """Its first byte is what is timed; how it goes on from there decides nothing."""
@@ -163,5 +182,6 @@
             return min(self.first_byte_due(), self._bound.until)
         if now < self.time_up:
             return self.deadline()
-        latest = self.time_up + (END_AFTER if now < self.time_up + END_AFTER else LONG_AFTER)
+        ends = (self.time_up + after for after in (END_AFTER, LONG_AFTER, EVENLY_LONG_AFTER))
+        latest = next((end for end in ends if now < end), now)
         return min(max(now + 0.001, min(now + LOOK_EVERY, latest)), self._bound.until)
--- a/jaspershelf/transfer_pace.py
+++ b/jaspershelf/transfer_pace.py
@@ -76,6 +76,11 @@
         begun_for = now - self._begun
         return self.size / PACE_SPAN if begun_for < PACE_SPAN else (self.size - self._first) / begun_for
 
+    def pace_between_pieces(self) -> float:
+        """Bytes a second from its first piece to its last one; 0 before there was time for more than one."""
+        span = self._last - self._begun
+        return (self.size - self._first) / span if span >= PACE_SPAN else 0.0
+
     def present_pace(self, now: float) -> float:
         """Bytes a second that come now."""
         self._move_mark(now)
--- a/lugspur/request_audit.py
+++ b/lugspur/request_audit.py
@@ -63,4 +63,10 @@
 
 
 def _is_lost(call: Call, now: float) -> bool:
-    return now > call.lease.time_up + LATE_MOST and not is_long(call)
+    return now > call.lease.time_up + LATE_MOST and not is_long(call) and not _is_evenly_long(call, now)
+
+
+def _is_evenly_long(call: Call, now: float) -> bool:
+    """Whether its answer comes so evenly that its next piece makes it long; `ended` judges whether it did."""
+    passed = call.passed_on()
+    return passed is not None and passed.pace is not None and call.lease.is_evenly_long(now, passed.pace)
--- a/tests/test_request_lease.py
+++ b/tests/test_request_lease.py
@@ -105,6 +105,36 @@
     assert latest - 0.1 < played.ended_at - 1.0 <= latest
 
 
+def evenly(rate: float, head_at: float, size: int, every: float = 0.05) -> Timetable:
+    """An answer in even pieces, the first of them with its head."""
+    count = -(-size // int(rate * every))
+    return Timetable(head_at, tuple(
+        (head_at + place * every, min(size, int(rate * every) * (place + 1))) for place in range(count)))
+
+
+# Guards against the cut, just before its request is lost, of a long answer that comes at 64 kB a second.
+@pytest.mark.parametrize("head_at", [0.05, 0.06, 0.075, 0.09, 0.1])
+def test_an_untold_answer_at_an_even_pace_is_not_cut_a_piece_before_it_is_long(head_at: float) -> None:
+    played = play(evenly(64e3, head_at, 200_000), 0.6, tells=False)
+    assert played.whole and played.passed_on_at <= 0.6 + TICK
+
+
+@pytest.mark.parametrize(("rate", "wait", "size"), [
+    (64e3, 0.3, 200_000), (50e3, 0.6, 200_000), (60e3, 0.6, 64_000),
+])
+def test_an_untold_answer_whose_pace_comes_too_late_to_make_it_long_ends_in_its_time(
+    rate: float, wait: float, size: int
+) -> None:
+    played = play(evenly(rate, 0.08, size), wait, tells=False)
+    assert not played.whole and played.ended_at <= wait + LATE_MOST
+
+
+def test_an_even_answer_that_stops_short_of_64_kib_is_ended_a_piece_later() -> None:
+    stops = Timetable(0.08, (*evenly(64e3, 0.08, 64_000).pieces, (5.0, 200_000)))
+    played = play(stops, 0.6, tells=False)
+    assert not played.whole and played.ended_at <= 0.6 + LATE_MOST + 0.05 + TICK
+
+
 def test_of_several_answers_one_that_says_it_is_long_goes_before_one_that_has_come_further() -> None:
     lease, told, further, silent, older = RequestLease(), *(AnswerPace(0.0) for _ in range(4))
     lease.grant(3.0)
