Only an idle connection is closed for another's sake: one meaning of idle

Cause: "idle" had no one meaning. Front.admit closed the connection that waited longest, though a request was half in or its answer was not all out, and aborted the oldest of those that lingered, unsent bytes or not.

Change: Caller.is_idle (no byte of a request read, all of the answer with its caller's system: transport and SIOCOUTQ) is asked by admission, drain and shutdown; a lingering close asks is_delivered. The lingering close moved from caller.py to linger.py. Tests of lingering name the new place; what they check is the same.

--- a/lugspur/arrival.py
+++ b/lugspur/arrival.py
@@ -47,6 +47,15 @@
     return size
 
 
+def unsent_size(sock: Socket) -> int:
+    """Bytes of what was written that the peer's system has not taken; 0 where the system does not say."""
+    try:
+        size: int = INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0]
+    except OSError:
+        return 0
+    return size
+
+
 def has_ended(sock: Socket) -> bool:
     """Whether the peer has ended a TCP connection, even behind bytes that lie unread."""
     poll = select.poll()
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -16,7 +16,7 @@
 from lugspur.events import log
 from lugspur.exchange import STUCK, Exchange, Response
 from lugspur.incoming_limit import IncomingLimit
-from lugspur.linger import LINGER, LingerLimit
+from lugspur.linger import LingeringClose, undelivered
 from lugspur.memory import OUT_OF_MEMORY, READ_BUFFER, CallerHoldings
 from lugspur.read_ahead import HEAD_MOST, PIECE, ReadAhead, is_full, piece_size
 from lugspur.request import Rejected, Request, classify, closing_reason, origin_form, path_of
@@ -47,10 +47,9 @@
         self._unread: UnreadAnswers | None = None  # looks after what the caller does not read
         self._source: Exchange | None = None  # whose answer is passed on as it comes...
         self._framing = AnswerFraming()  # ...and how
-        self._dropping = False  # what further comes in is read and dropped...
-        self._dropped = 0  # ...so many bytes lately
+        self._dropping = False  # what further comes in is read and dropped
         self._due: asyncio.TimerHandle | None = None  # the next request is taken up
-        self._next_look: asyncio.TimerHandle | None = None  # of a lingering close
+        self._lingering: LingeringClose | None = None
         self._continue_due = False  # the caller waits to be told to send its body
         self.begun = False  # a request has come in part
         self._served = ServedRequest(front.telemetry)
@@ -85,8 +84,8 @@
         self._leave()
         self._take_no_more()
         self.limit.close()
-        if self._next_look is not None:
-            self._next_look.cancel()
+        if self._lingering is not None:
+            self._lingering.cancel()
         self._read_ahead.close()
         self._unread = None
         self._held.close(self)
@@ -128,30 +127,31 @@
         if self in self._front.lingering:
             return
         if reason:
-            trace.record("caller.closed", reason=reason, queued=len(self._queue))
+            trace.record("caller.closed", reason=reason, queued=len(self._queue), begun=self.begun,
+                         undelivered=undelivered(self._transport), unread=self._arrival.unread())
             if self.gone is not None:
                 self._account.violated("close_owing", reason)
         self._front.lingering[self] = None
         self._take_no_more()
         self._clear_queue()
         self._transport.resume_reading()
+        self._lingering = LingeringClose(self._transport, self.abort)
         try:
-            self._transport.write_eof()
+            self._lingering.begin()
         except OSError:  # the caller has reset it, and the loop has not read that yet
             self.abort("its caller has reset it")
-            return
-        self._linger_limit = LingerLimit(self._loop.time(), self.unsent())
-        self._linger()
-
-    def _linger(self) -> None:
-        """End it once it has lingered for long enough."""
-        unsent, dropped, self._dropped = self.unsent(), self._dropped, 0
-        if self._linger_limit.is_over(self._loop.time(), unsent, dropped):
-            if unsent:
-                trace.record("caller.stuck", unsent=unsent)
-            self.abort()
-        else:
-            self._next_look = self._loop.call_later(LINGER, self._linger)
+
+    def is_delivered(self) -> bool:
+        """Whether its caller's system has taken all that was written to it."""
+        return not undelivered(self._transport, ended=self._lingering is not None)
+
+    def is_idle(self) -> bool:
+        """Whether no byte of a request was read since the last answer, and all of that is out.
+
+        An idle connection alone may be closed for another's sake, or because callers are to leave.
+        """
+        has_begun = self.begun or self._serving is not None or bool(self._queue or self._read_ahead)
+        return not has_begun and self.is_delivered()
 
     def abort(self, reason: str = "") -> None:
         """End it at once; it counts no more from here on. No reason: it is the end of a lingering close."""
@@ -224,7 +224,8 @@
     def buffer_updated(self, nbytes: int) -> None:
         """So many bytes have come."""
         if self._dropping:
-            self._dropped += nbytes
+            if self._lingering is not None:
+                self._lingering.drop(nbytes)
             return
         self._arrival.read()
         self._take_in(READ_BUFFER[:nbytes])
--- a/lugspur/front.py
+++ b/lugspur/front.py
@@ -17,7 +17,8 @@
 from lugspur.request import Facts, Request
 from lugspur.telemetry import Telemetry
 
-LINGERERS = 8  # of them beyond the limit on callers, of the spare descriptors; the next one ends the oldest
+LINGERERS = 8  # connections beyond the limit on callers, of the spare descriptors
+IDLE_LOOK_EVERY = 0.05  # seconds between looks for those that have become idle, and are to leave
 LEAVE_AFTER = 0.1  # seconds after the last answers in which callers may still take them
 BACKLOG = 1024  # connections that may wait to be accepted
 # Seconds after operators drain the proxy in which idle callers may still leave by themselves: at 4 s none may
@@ -64,15 +65,31 @@
         return self.taking() and not self.drained
 
     def admit(self, caller: Caller) -> None:
-        """A new connection: where there are too many, an idle one makes room."""
+        """A new connection: where there are too many, an idle one makes room, or else it is turned away.
+
+        Guards the limit on sockets, and what others are owed: no connection ends on which anything is.
+        """
         self.last_accept = asyncio.get_running_loop().time()
         self.callers.add(caller)
-        if self.crowded() and self.waiting:
-            # Guards the limit on sockets: idle connections make room...
-            next(iter(self.waiting)).close("idle, and there are too many")
-        if len(self.callers) > self.most + LINGERERS and self.lingering:
-            next(iter(self.lingering)).abort("too many linger")  # ...at once where too many of them linger.
-        self.waiting[caller] = None
+        idle = self._longest_idle() if self.crowded() else None
+        if idle is not None:
+            idle.close("idle, and there are too many")
+        if len(self.callers) > self.most + LINGERERS and not self._end_delivered():
+            caller.abort("there are too many, and none is idle")
+        else:
+            self.waiting[caller] = None
+
+    def _longest_idle(self) -> Caller | None:
+        return next((caller for caller in self.waiting if caller.is_idle()), None)
+
+    def _end_delivered(self) -> bool:
+        """End the oldest connection on which nothing is owed; False: there is none."""
+        lingering = (caller for caller in self.lingering if caller.is_delivered())
+        delivered = next(lingering, None) or self._longest_idle()
+        if delivered is not None:
+            self.waiting.pop(delivered, None)
+            delivered.abort("all of its answers are out, and there are too many")
+        return delivered is not None
 
     def crowded(self) -> bool:
         """Whether more callers are here than may be, those on their way out aside."""
@@ -130,8 +147,20 @@
     def close(self) -> None:
         """From here on answers close their connection; those that wait for nothing are closed now."""
         self.closing = True
-        for caller in tuple(self.waiting):
-            if not caller.begun:  # Guards requests on their way in: their answers close the connection.
-                caller.close("idle, and the process lets its callers go")
+        self._close_idle(tuple(self.waiting))
         for caller in tuple(self.callers):
             caller.take_up()  # what waits until its caller reads on is to be answered by the end
+
+    def _close_idle(self, callers: tuple[Caller, ...]) -> None:
+        """Close those of them that are idle, and look again for the others until none is left.
+
+        Guards requests on their way in, whose answers close the connection, and answers on their way out.
+        """
+        for caller in callers:
+            if caller in self.waiting and caller.is_idle():
+                caller.close("idle, and the process lets its callers go")
+        left = tuple(caller for caller in callers if caller in self.waiting)
+        if self._letting_go is not None:
+            self._letting_go.cancel()
+        self._letting_go = (
+            asyncio.get_running_loop().call_later(IDLE_LOOK_EVERY, self._close_idle, left) if left else None)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -34,7 +34,7 @@
 from lugspur.caller import Caller
 from lugspur.exchange import STUCK
 from lugspur.front import LINGERERS
-from lugspur.linger import LINGER
+from lugspur.linger import LINGER, LingeringClose
 from lugspur.read_ahead import AHEAD_MOST, PIECE, QUEUED_MOST
 
 
@@ -43,6 +43,12 @@
     return socket.create_connection((HOST, port))
 
 
+def lingering_close(caller: Caller) -> LingeringClose:
+    """What a caller's connection that was closed lingers by."""
+    assert caller._lingering is not None
+    return caller._lingering
+
+
 async def handed(sock: socket.socket) -> Client:
     """That socket as a client that waits."""
     sock.setblocking(False)
@@ -415,7 +421,7 @@
         assert len(self._front.callers) <= self._front.most + LINGERERS
 
     monkeypatch.setattr(Caller, "connection_made", counted)
-    monkeypatch.setattr("lugspur.caller.LINGER", WIDE)  # none ends by itself meanwhile
+    monkeypatch.setattr("lugspur.linger.LINGER", WIDE)  # none ends by itself meanwhile
 
     async def play() -> None:
         async with running([], sockets=48 + 8) as up:  # 4 callers
@@ -425,7 +431,7 @@
             assert len(front.lingering) == LINGERERS
             assert len(front.callers) == front.most + LINGERERS
             for caller in tuple(front.lingering):
-                caller._linger()  # a second after the first look
+                lingering_close(caller)._look()  # a second after the first look
             await until(lambda: not front.lingering)
             for sock in many:
                 sock.close()
@@ -446,11 +452,11 @@
             monkeypatch.setattr(caller, "abort", ended.set)
             caller.close()
             for left[0] in (8, 7, 7, 6):
-                caller._linger()
+                lingering_close(caller)._look()
             for _ in range(int(STUCK / LINGER) - 1):
-                caller._linger()
+                lingering_close(caller)._look()
                 assert not ended.is_set()
-            caller._linger()
+            lingering_close(caller)._look()
             assert ended.is_set(), "nothing goes out any more"
             client.writer.close()
 
@@ -469,11 +475,11 @@
             monkeypatch.setattr(caller._transport, "get_write_buffer_size", lambda: next(left))
             monkeypatch.setattr(caller, "abort", ended.set)
             caller.close()
-            caller._linger()
+            lingering_close(caller)._look()
             now = asyncio.get_running_loop().time()
-            assert not ended.is_set() and caller._linger_limit.until < now + 1.1 * STUCK
-            caller._linger_limit.until = now
-            caller._linger()
+            assert not ended.is_set() and lingering_close(caller)._limit.until < now + 1.1 * STUCK
+            lingering_close(caller)._limit.until = now
+            lingering_close(caller)._look()
             assert ended.is_set()
 
     asyncio.run(play())
