The relief of memory never ends what is owed; backpressure bounds what answers hold

Cause: nothing bounded what admitted answers come to hold. Each caller's transport took 64 KiB and one read of up to as much before its server was no longer read, 330 of them up to 40 MB of a budget of 16; past the budget Account.relieve reset the largest holders, owing or not, and Connection.shed ended attempts whose answer was passed on.

Change: an answer may wait for its caller with a quarter of what is free of a quarter of the budget, 2 to 64 KiB, and its server is read by no larger pieces (MemoryOverload.answer_most), so that the sum stays under that part. Relief sheds what was not taken on and resets where nothing is owed; what is owed ends only where the system itself gives no more memory, counted in memory.reset_owed and logged as an error.

--- a/jaspershelf/overload.py
+++ b/jaspershelf/overload.py
@@ -3,7 +3,8 @@
 All that peers can make a process hold is added up by whoever holds it (`lugspur.memory`). From that sum and
 the process's limit this module decides, in four steps, the earlier the milder: large bodies are no longer
 read ahead of their servers, connections are read in smaller pieces, new requests are refused, and whoever
-holds most gives up what was not taken on yet.
+holds most gives up what was not taken on yet. What was taken on is bounded by backpressure instead: a server
+is read only as far as its caller leaves room, and that room shrinks with what all answers hold.
 Sans-I/O; sizes are in bytes.
 """
 
@@ -20,6 +21,9 @@
 FAILED_LEAST = MIB  # the least budget where the system gives no more
 REFUSE_FROM, REFUSE_UNTIL = 0.7, 0.6  # parts of the budget between which refusing begins and ends
 LEND_UNTIL = 0.5  # part of the budget up to which requests' bodies may be held beyond what each may always
+ANSWERS_PART = 0.25  # of the budget that answers on their way to callers may take...
+ANSWER_PART = 0.25  # ...and of what is free of that, what one of them may
+ANSWER_MOST = 64 * KIB  # of one answer on its way
 RELIEVED = 0.8  # part of the budget down to which holders give up what they hold
 READ_MOST, READ_LEAST = 64 * KIB, 2 * KIB  # of one connection at a time
 READ_PART = 1 / 16  # of what is free: many connections read in one turn of the loop
@@ -71,6 +75,15 @@
         self._shared_by = processes
         self._set_budget()
 
+    def answer_most(self, answers: int) -> int:
+        """How much of one answer may wait for its caller, while all answers hold so much.
+
+        As each may have only a part of what is free, the sum stays under its part of the budget, but for the
+        smallest reads.
+        """
+        free = (ANSWERS_PART * self.budget - answers) * ANSWER_PART
+        return ANSWER_MOST if free >= ANSWER_MOST else max(READ_LEAST, int(free))
+
     def keep(self, standing: int) -> None:
         """So much is kept for good, and leaves less for what comes and goes."""
         self._standing = standing
--- a/lugspur/backend_connection.py
+++ b/lugspur/backend_connection.py
@@ -254,8 +254,12 @@
         return self.exchange is not None
 
     def shed(self) -> None:
-        """End an attempt that holds something: its request is tried again or answered as failed."""
-        if self.exchange is not None and self._answer_held.size + self._unsent_held.size:
+        """End an attempt that holds something: its request is tried again or answered as failed.
+
+        Not one whose answer is passed on: nothing else can end its request.
+        """
+        exchange, held = self.exchange, self._answer_held.size + self._unsent_held.size
+        if exchange is not None and exchange.pass_on is None and held:
             self._spoilt()
 
     def reset(self) -> None:
@@ -269,7 +273,9 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the next bytes go: what is read is taken up before anything else is read."""
-        return self._account.read_buffer()
+        buffer = self._account.read_buffer()
+        passes_on = self.exchange is not None and self.exchange.pass_on is not None
+        return buffer[:self._account.answer_most()] if passes_on else buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """So many bytes have come."""
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -86,6 +86,7 @@
         self.limit.close()
         if self._lingering is not None:
             self._lingering.cancel()
+            self._lingering = None  # each holds the other
         self._read_ahead.close()
         self._unread = None
         self._held.close(self)
@@ -536,7 +537,8 @@
             source.hold(True)
 
     def pass_on(self, data: bytes) -> None:
-        """Write the next bytes of that answer."""
+        """Write the next bytes of that answer; its server is read no further than memory allows."""
+        self._transport.set_write_buffer_limits(high=self._account.answer_most())
         self._transport.write(self._framing.piece(data))
         self._note_unsent()
 
--- a/lugspur/memory.py
+++ b/lugspur/memory.py
@@ -3,7 +3,7 @@
 Whoever keeps bytes of a peer has a `Holding` and tells it their number. The sum is bounded from the
 process's memory limit by `jaspershelf.overload`, which decides; here its decisions are carried out:
 connections are read in smaller pieces, new requests are refused, and where that is not enough, those that
-hold most give it up.
+hold most give up what was not taken on. What is owed ends by that only where the system gives no more memory.
 """
 
 from __future__ import annotations
@@ -21,6 +21,7 @@
 TURN_LONG, TURN_TOO_LONG = 0.02, 0.1  # seconds of one turn of the loop after which a connection is read...
 PIECE_SMALL, PIECE_LEAST = READ_LEAST, 512  # ...in pieces of so many bytes, so that others have their turn
 CONNECTION_COST = 9 << 10  # bytes that a connection costs without anything held on it
+RELIEF_EVERY = 0.1  # seconds between reliefs, where one could not give up enough
 OUT_OF_MEMORY = "out of memory: try again later"
 REQUEST_COST = 3 << 10  # bytes that a request costs beside its text
 
@@ -123,7 +124,8 @@
         self.peak = 0
         self.refused = 0  # requests
         self.shed = 0  # times that a holder gave up what was not taken on...
-        self.reset = 0  # ...and all
+        self.reset = 0  # ...and all...
+        self.reset_owed = 0  # ...though something was owed
         self.failed_allocations = 0
         self._relief_due = False
         self._turn_age: Callable[[], float] = lambda: 0.0
@@ -167,6 +169,10 @@
         size = max(least, size)
         return READ_BUFFER if size >= READ_MOST else READ_BUFFER[:size]
 
+    def answer_most(self) -> int:
+        """How many bytes of one answer may wait for its caller now."""
+        return self.overload.answer_most(self.by_purpose[Purpose.ANSWERS])
+
     def refuse(self) -> str:
         """A new request is refused, with this reason."""
         if not self.refused:
@@ -179,27 +185,42 @@
         self.failed_allocations += 1
         self.overload.allocation_failed(self.held)
         self.relieve()
+        self._reset(owed=True)  # the process ends otherwise, and with it all that is owed
 
-    def _ask_for_relief(self) -> None:
+    def _ask_for_relief(self, after: float = 0.0) -> None:
         try:
-            asyncio.get_running_loop().call_soon(self.relieve)
+            loop = asyncio.get_running_loop()
         except RuntimeError:  # no loop runs: nothing more comes in
             return
+        if after:
+            loop.call_later(after, self.relieve)
+        else:
+            loop.call_soon(self.relieve)
         self._relief_due = True
 
     def relieve(self) -> None:
-        """Have those that hold most give up what was not taken on, and all where that is not enough."""
+        """Have those that hold most give up what was not taken on, and all where nothing is owed."""
         self._relief_due = False
-        holders = list(self.holders)
         if self.overload.update(self.held):
+            holders = list(self.holders)
             order = largest_first([holder.held() for holder in holders])
             self.shed += self._give_up(
                 [holders[place].shed for place in order], self.overload.relieved())
-        if self.overload.update(self.held):
-            owing = [holder.owes() for holder in holders]
-            order = largest_first([holder.held() for holder in holders], owing)
-            self.reset += self._give_up(
-                [holders[place].reset for place in order], self.overload.relieved())
+        self._reset(owed=False)
+        if not self._relief_due and self.overload.update(self.held):
+            self._ask_for_relief(RELIEF_EVERY)
+
+    def _reset(self, owed: bool) -> None:
+        """Have those that hold most give up all, where more is held than may be; `owed`: what is owed too."""
+        if not self.overload.update(self.held):
+            return
+        holders = [holder for holder in self.holders if holder.owes() == owed]
+        order = largest_first([holder.held() for holder in holders])
+        count = self._give_up([holders[place].reset for place in order], self.overload.relieved())
+        self.reset += count
+        if owed and count:
+            self.reset_owed += count
+            log.error("memory.reset_owed", number=count, held=self.held)
 
     def press(self) -> None:
         """Have those that hold most give up what was not taken on: the process is near its limit."""
@@ -230,6 +251,6 @@
             *lines, f"memory.held={self.held}", f"memory.held_most={self.peak}",
             f"memory.budget={-1 if budget == float('inf') else int(budget)}",
             f"memory.refusing={int(self.overload.refusing)}", f"memory.refused={self.refused}",
-            f"memory.shed={self.shed}", f"memory.reset={self.reset}",
+            f"memory.shed={self.shed}", f"memory.reset={self.reset}", f"memory.reset_owed={self.reset_owed}",
             f"memory.failed_allocations={self.failed_allocations}",
         ]
