A process that hands over keeps room for what it has taken on

Cause: at SIGTERM Proxy.make_room halved the memory budget at once, under what was held for answers that are owed; the relief of memory then reset those that held most.

Change: handing over halves what admission counts by (MemoryOverload.admission_budget) and leaves the budget of what was taken on, of which less and less is used as its answers end. The new process still starts with half.

--- a/jaspershelf/overload.py
+++ b/jaspershelf/overload.py
@@ -46,18 +46,23 @@
         """`limit` is the memory that the process may have."""
         self._limit = limit
         self._shared_by = 1  # processes
+        self._hands_over = False  # another process takes what is new
         self._rest = 0  # resident size of the process with nothing held
         self._allowance = inf  # what the system's limits on the process leave it
         self._system = inf  # the most that the system's limits on the process allow as a budget
         self._ceiling = inf  # of the budget, for a while after an allocation has failed
         self._standing = 0
         self.budget = inf
+        self.admission_budget = inf  # of what is held, as far as more is taken on
         self.quiet = inf  # as long as no more is held, and nothing is refused, there is nothing to decide
         self.refusing = False
 
     @property
     def _headroom(self) -> float:
-        stated = inf if self._limit is None else max(0.0, self._limit / self._shared_by - self._rest)
+        return self._headroom_of(self._shared_by)
+
+    def _headroom_of(self, processes: int) -> float:
+        stated = inf if self._limit is None else max(0.0, self._limit / processes - self._rest)
         return min(stated, self._allowance)
 
     def start(self, resident: int, allowance: float = inf) -> None:
@@ -75,6 +80,14 @@
         self._shared_by = processes
         self._set_budget()
 
+    def hand_over(self) -> None:
+        """Another process takes the callers from here on, and more of the limit as what is owed here ends.
+
+        What was taken on stays owed: only what more is taken on has less room.
+        """
+        self._hands_over = True
+        self._set_budget()
+
     def answer_most(self, answers: int) -> int:
         """How much of one answer may wait for its caller, while all answers hold so much.
 
@@ -101,9 +114,13 @@
             self._set_budget()
 
     def _set_budget(self) -> None:
-        stated = max(BUDGET_LEAST, BUDGET_PART * self._headroom - self._standing)
-        self.budget = float(min(stated, self._system, self._ceiling))
-        self.quiet = min(REFUSE_UNTIL * self.budget, self.budget - READ_MOST / READ_PART)
+        self.budget = self._budget_of(self._shared_by)
+        self.admission_budget = self._budget_of(max(2, self._shared_by)) if self._hands_over else self.budget
+        self.quiet = min(REFUSE_UNTIL * self.admission_budget, self.budget - READ_MOST / READ_PART)
+
+    def _budget_of(self, processes: int) -> float:
+        stated = max(BUDGET_LEAST, BUDGET_PART * self._headroom_of(processes) - self._standing)
+        return float(min(stated, self._system, self._ceiling))
 
     def ids_most(self) -> int:
         """Ids of requests that may have run, for which there is room."""
@@ -125,15 +142,15 @@
 
     def update(self, held: int) -> bool:
         """Take note of what is held now; whether holders have to give some of it up."""
-        if held > REFUSE_FROM * self.budget:
+        if held > REFUSE_FROM * self.admission_budget:
             self.refusing = True
-        elif held < REFUSE_UNTIL * self.budget:
+        elif held < REFUSE_UNTIL * self.admission_budget:
             self.refusing = False
         return held > self.budget
 
     def may_lend(self, held: int) -> bool:
         """Whether a request's body may be held beyond what each may always; never without a stated limit."""
-        return self._limit is not None and held < LEND_UNTIL * self.budget
+        return self._limit is not None and held < LEND_UNTIL * self.admission_budget
 
     def is_resident_too_large(self, resident: int, held: int) -> bool:
         """Whether the process is near its limit, and giving up what is held would help."""
--- a/lugspur/proxy.py
+++ b/lugspur/proxy.py
@@ -98,7 +98,8 @@
         self._upstream = Upstream(sockets - callers, config.conn_idle, config.dial_timeout, self._account)
         if config.listen_fd is not None:
             # Guards the limits: this may be the second process, and both count together.
-            self.make_room()
+            self._upstream.halve()
+            self._overload.share(2)
             self._loop.call_later(OVERLAP, self._have_all_room)
         self._list = BackendList(self._upstream, self._balancer)
         self._backends = self._list.backends
@@ -140,11 +141,10 @@
         self._upstream.news = self._discovery.inbox
         self._members(ListKind.STALE, known)
         self._follower = OrderFollower(
-            self._orders, self.file_executor, self._obey, shared=config.listen_fd is not None
-        )
+            self._orders, self.file_executor, self._obey, shared=config.listen_fd is not None)
         if self._memory is not None:
-            restored = self._memory.load(len(config.settings.classes))
-            self._perform(self._decide(self._balancer.restore, *restored))
+            self._perform(self._decide(
+                self._balancer.restore, *self._memory.load(len(config.settings.classes))))
             self._memory.open(self._balancer, self._now, self._incarnation, self.file_executor)
         self._perform(self._decide(self._balancer.start))
         if config.settings.discovery is Discovery.PUSHED:
@@ -192,7 +192,7 @@
     def make_room(self) -> None:
         """Leave another process, which takes the callers from here on, its part of the limits."""
         self._upstream.halve()
-        self._overload.share(2)
+        self._overload.hand_over()
 
     def _have_all_room(self) -> None:
         """The limits are this process's alone."""
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -9,7 +9,7 @@
 import pytest
 from loopback import HOST, Client, Running, backend, book, entry, running, soon, until
 
-from jaspershelf.overload import MIB, READ_LEAST
+from jaspershelf.overload import BUDGET_PART, MIB, READ_LEAST
 from lugspur.memory import Purpose
 
 LIMIT = 64 * MIB
@@ -50,7 +50,7 @@
         overload, account = up.proxy._overload, up.proxy._account
         up.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, BUFFER)  # of all that are accepted
         if budget is not None:
-            overload.budget = budget
+            overload.budget = overload.admission_budget = budget
             overload.quiet = 0.0
         clients = [await slow_client(up) for _ in range(CLIENTS)]
         for client in clients:
@@ -72,3 +72,18 @@
         assert up.proxy._account.by_purpose[Purpose.ANSWERS] > READ_LEAST
 
     asyncio.run(play(nothing, budget))
+
+
+# Guards against answers that are reset as the process hands over to another one, which halves its memory.
+def test_answers_that_were_taken_on_come_whole_though_the_process_hands_over(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("jaspershelf.overload.BUDGET_LEAST", MIB // 16)
+
+    def hand_over(up: Running) -> None:
+        overload, held = up.proxy._overload, up.proxy._account.held
+        overload._limit = overload._rest + int(1.2 * (held + overload._standing) / BUDGET_PART)
+        up.proxy.make_room()
+        assert overload.admission_budget < held < overload.budget
+
+    asyncio.run(play(hand_over))
