A caller that reads from a full system buffer is not taken for one that takes nothing

Cause: headway of an answer was what the caller's transport had handed to the system. A full send buffer (4 MB here) takes nothing more before a third of it is free, at 64 kB a second after 21 s and more; with 30 s allowed a somewhat slower reader was "at a stand". UnreadAnswers, whose judgement the relief of memory asks too, measured the same.

Change: both count what the caller's system has taken (transport and SIOCOUTQ), as lingering closes do; it moves while the caller reads.

--- a/lugspur/arrival.py
+++ b/lugspur/arrival.py
@@ -47,8 +47,10 @@
     return size
 
 
-def unsent_size(sock: Socket) -> int:
+def unsent_size(sock: Socket | None) -> int:
     """Bytes of what was written that the peer's system has not taken; 0 where the system does not say."""
+    if sock is None:
+        return 0
     try:
         size: int = INT.unpack(fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(INT.size)))[0]
     except OSError:
--- a/lugspur/call.py
+++ b/lugspur/call.py
@@ -106,9 +106,9 @@
         """How long an attempt has been out, of the time that counts: from the request's last byte on."""
         return max(0.0, now - max(exchange.started, self.request.arrived))
 
-    def unsent(self) -> int:
-        """Bytes of its answer that its caller has not taken yet."""
-        return self.caller.unsent() if self.caller is not None else 0
+    def undelivered(self) -> int:
+        """Bytes of its answer that its caller's system has not taken yet."""
+        return self.caller.undelivered() if self.caller is not None else 0
 
     def begun(
         self, exchange: Exchange, response: Response
--- a/lugspur/caller.py
+++ b/lugspur/caller.py
@@ -129,7 +129,7 @@
             return
         if reason:
             trace.record("caller.closed", reason=reason, queued=len(self._queue), begun=self.begun,
-                         undelivered=undelivered(self._transport), unread=self._arrival.unread())
+                         undelivered=self.undelivered(), unread=self._arrival.unread())
             if self.gone is not None:
                 self._account.violated("close_owing", reason)
         self._front.lingering[self] = None
@@ -142,9 +142,13 @@
         except OSError:  # the caller has reset it, and the loop has not read that yet
             self.abort("its caller has reset it")
 
+    def undelivered(self) -> int:
+        """Bytes of answers that its caller's system has not taken yet."""
+        return undelivered(self._transport, ended=self._lingering is not None)
+
     def is_delivered(self) -> bool:
         """Whether its caller's system has taken all that was written to it."""
-        return not undelivered(self._transport, ended=self._lingering is not None)
+        return not self.undelivered()
 
     def is_idle(self) -> bool:
         """Whether no byte of a request was read since the last answer, and all of that is out.
--- a/lugspur/exchange.py
+++ b/lugspur/exchange.py
@@ -19,7 +19,7 @@
 
 # Seconds in which a backend has to take a step of a request, or to give anything of an answer...
 STALLED = 8.0
-STUCK = 30.0  # ...or its caller has to make room for a step: a slow one may empty a full socket in 20
+STUCK = 30.0  # ...or its caller's system has to take a step
 HEADWAY_EVERY = 1.0  # seconds between looks at a transfer
 PACE_EVERY_MOST, PACE_EVERY_LEAST = 0.1, 0.01  # seconds between looks at an answer that is held...
 NO_LEASE, NO_SIZES = RequestLease(), AnswerSizes()  # without an end, and of no class
@@ -51,8 +51,8 @@
     def begun(self, exchange: Exchange, response: Response) -> Callable[[bytes], None] | None:
         """An answer is passed on from here; where the rest of it goes, or None if nobody wants it."""
 
-    def unsent(self) -> int:
-        """Bytes of an answer that is passed on, that its caller has not taken yet."""
+    def undelivered(self) -> int:
+        """Bytes of an answer that is passed on, that its caller's system has not taken yet."""
 
     def ended(self, exchange: Exchange, outcome: Outcome, response: Response | None) -> None:
         """The one outcome; an answer that has begun is not told again."""
@@ -237,7 +237,7 @@
     def _moved_bytes(self) -> int:
         """Bytes that have come to where they go: an answer's to its caller, a request's out."""
         if self.pass_on is not None:
-            return (self.pace.size if self.pace is not None else 0) - self._client.unsent()
+            return (self.pace.size if self.pace is not None else 0) - self._client.undelivered()
         return self.connection.moved_bytes() if self.connection is not None else 0
 
     def _unsent(self) -> int:
--- a/lugspur/linger.py
+++ b/lugspur/linger.py
@@ -14,7 +14,7 @@
 LINGER_MOST = 30.0  # seconds of it where more and more comes
 
 
-def undelivered(transport: asyncio.Transport, ended: bool = False) -> int:
+def undelivered(transport: asyncio.WriteTransport, ended: bool = False) -> int:
     """Bytes of what was written that the peer's system has not taken: a reset would drop them.
 
     `ended`: the sending has been; the system counts its end as a byte.
--- a/lugspur/unread_answers.py
+++ b/lugspur/unread_answers.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from lugspur.linger import undelivered
+
 LOOK_EVERY = 1.0  # seconds
 UNREAD_MOST = 64 << 10  # bytes of unread answers, beyond which no further request is taken up
 
@@ -34,12 +36,13 @@
 
     def _look(self) -> None:
         self._timer = None
-        unsent = self._transport.get_write_buffer_size()
-        if not unsent:
+        if not self._transport.get_write_buffer_size():
             self._waited = 0.0
             return
-        self._waited = self._waited + LOOK_EVERY if unsent == self._seen else 0.0
-        self._seen = unsent
+        # A full system buffer takes nothing more for a long time, though its peer goes on reading.
+        left = undelivered(self._transport)
+        self._waited = self._waited + LOOK_EVERY if left == self._seen else 0.0
+        self._seen = left
         if self._waited >= self._most:
             self._end()
         else:
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -87,3 +87,26 @@
         assert overload.admission_budget < held < overload.budget
 
     asyncio.run(play(hand_over))
+
+
+# Guards against an answer that is cut as if its caller took nothing, while a full system buffer drains.
+def test_an_answer_is_not_cut_while_its_caller_reads_from_a_full_system_buffer(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("lugspur.exchange.STUCK", 0.5)
+    monkeypatch.setattr("lugspur.exchange.HEADWAY_EVERY", 0.05)
+    monkeypatch.setattr("jaspershelf.transfer_pace.STEP", PIECE)
+
+    async def play() -> None:
+        async with backend(lambda _: LARGE) as one, running([entry("a", one.address)]) as up:
+            up.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SIZE // 4)
+            client = await slow_client(up)
+            client.writer.write(book())
+            got = 0
+            await soon(client.reader.readuntil(b"\r\n\r\n"))
+            while got < SIZE and (data := await soon(client.reader.read(PIECE))):
+                got += len(data)
+                await asyncio.sleep(0.06)
+            assert got == SIZE
+
+    asyncio.run(play())
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -328,7 +328,7 @@
     def slow(self, exchange: Exchange) -> None:
         pass
 
-    def unsent(self) -> int:
+    def undelivered(self) -> int:
         return 0
 
     def begun(self, exchange: Exchange, response: Response) -> Callable[[bytes], None] | None:
