--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -210,6 +210,16 @@
         self.clients.append(client)
         return client
 
+    async def slow_client(self, buffer: int, limit: int) -> Client:
+        """A new connection whose receive buffer has so many bytes, read up to `limit` at a time."""
+        sock = socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer)
+        sock.setblocking(False)
+        await asyncio.get_running_loop().sock_connect(sock, (HOST, self.port))
+        client = Client(*await asyncio.open_connection(sock=sock, limit=limit))
+        self.clients.append(client)
+        return client
+
     def close(self) -> None:
         """End its callers' connections: a writer that outlives its loop is a fault when it is collected."""
         for client in self.clients:
--- a/tests/test_idle_connections.py
+++ b/tests/test_idle_connections.py
@@ -32,17 +32,6 @@
     return many
 
 
-async def slow_client(up: Running) -> Client:
-    """A client whose system takes little at a time."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (HOST, up.port))
-    client = Client(*await asyncio.open_connection(sock=sock, limit=SLOW_BUFFER))
-    up.clients.append(client)
-    return client
-
-
 async def rest_of(client: Client) -> int:
     """Bytes of the answer that is read now."""
     await soon(client.reader.readuntil(b"\r\n\r\n"))
@@ -84,7 +73,7 @@
     async def play() -> None:
         async with backend(lambda _: LARGE) as one, running([entry("a", one.address)], sockets=SOCKETS) as up:
             up.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SLOW_BUFFER)  # of all that are accepted
-            clients = [await slow_client(up) for _ in range(CALLERS - 1)]
+            clients = [await up.slow_client(SLOW_BUFFER, SLOW_BUFFER) for _ in range(CALLERS - 1)]
             for client in clients:
                 client.writer.write(book(Connection="close" if last else ""))
             await until(lambda: one.got.qsize() == len(clients))
@@ -133,7 +122,7 @@
     async def play() -> None:
         async with backend(lambda _: LARGE) as one, running([entry("a", one.address)]) as up:
             up.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SLOW_BUFFER)
-            client = await slow_client(up)
+            client = await up.slow_client(SLOW_BUFFER, SLOW_BUFFER)
             client.writer.write(book())
             await soon(one.got.get())
             reading = asyncio.ensure_future(rest_of(client))
--- a/tests/test_owed_answers.py
+++ b/tests/test_owed_answers.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 import pytest
-from loopback import HOST, Client, Running, backend, book, entry, running, soon, until
+from loopback import Client, Running, backend, book, entry, running, soon, until
 
 from jaspershelf.overload import BUDGET_PART, MIB, READ_LEAST
 from lugspur.memory import Purpose
@@ -20,17 +20,6 @@
 PIECE = 16 << 10  # bytes that a slow client reads at a time
 
 
-async def slow_client(up: Running) -> Client:
-    """A client whose system takes little at a time."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
-    sock.setblocking(False)
-    await asyncio.get_running_loop().sock_connect(sock, (HOST, up.port))
-    client = Client(*await asyncio.open_connection(sock=sock, limit=PIECE))
-    up.clients.append(client)
-    return client
-
-
 async def rest_of(client: Client) -> int:
     """Bytes of the answer's body that come until its end, or until it is cut."""
     got = 0
@@ -53,7 +42,7 @@
         if budget is not None:
             overload.budget = overload.admission_budget = budget
             overload.quiet = 0.0
-        clients = [await slow_client(up) for _ in range(CLIENTS)]
+        clients = [await up.slow_client(BUFFER, PIECE) for _ in range(CLIENTS)]
         for client in clients:
             client.writer.write(book())
             await soon(one.got.get())
@@ -101,7 +90,7 @@
     async def play() -> None:
         async with backend(lambda _: LARGE) as one, running([entry("a", one.address)]) as up:
             up.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SIZE // 4)
-            client = await slow_client(up)
+            client = await up.slow_client(BUFFER, PIECE)
             client.writer.write(book())
             got = 0
             await soon(client.reader.readuntil(b"\r\n\r\n"))
